--- a/src/main/java/heathsill/Controller.java
+++ b/src/main/java/tinroad/Controller.java
@@ -1,4 +1,4 @@
-package heathsill;
+package tinroad;
 
 import java.util.List;
 
--- a/src/main/java/heathsill/OverloadController.java
+++ b/src/main/java/tinroad/OverloadController.java
@@ -1,4 +1,4 @@
-package heathsill;
+package tinroad;
 // The types, events and actions used here are in Controller.java, beside this file.
 
 import java.util.ArrayDeque;
--- a/src/main/java/heathsill/cli/Check.java
+++ b/src/main/java/tinroad/cli/Check.java
@@ -1,7 +1,7 @@
-package heathsill.cli;
+package tinroad.cli;
 
-import heathsill.config.ConfigException;
-import heathsill.config.GatewayConfig;
+import tinroad.config.ConfigException;
+import tinroad.config.GatewayConfig;
 import java.io.InputStream;
 import java.io.PrintStream;
 
@@ -14,7 +14,7 @@
             out.println("ok: " + config.name() + " with classes " + config.site().classNames());
             return 0;
         } catch (ConfigException e) {
-            err.println("heathsill: " + e.getMessage());
+            err.println("tinroad: " + e.getMessage());
             return 1;
         }
     }
--- a/src/main/java/heathsill/cli/ConfigOption.java
+++ b/src/main/java/tinroad/cli/ConfigOption.java
@@ -1,7 +1,7 @@
-package heathsill.cli;
+package tinroad.cli;
 
-import heathsill.config.ConfigException;
-import heathsill.config.GatewayConfig;
+import tinroad.config.ConfigException;
+import tinroad.config.GatewayConfig;
 import java.nio.file.Path;
 import org.kohsuke.args4j.Option;
 
--- a/src/main/java/heathsill/cli/Main.java
+++ b/src/main/java/tinroad/cli/Main.java
@@ -1,4 +1,4 @@
-package heathsill.cli;
+package tinroad.cli;
 
 import java.io.InputStream;
 import java.io.PrintStream;
@@ -40,7 +40,7 @@
         try {
             parser.parseArgument(args);
         } catch (CmdLineException e) {
-            err.println("heathsill: " + e.getMessage() + " (commands: serve, check, wirehost, version)");
+            err.println("tinroad: " + e.getMessage() + " (commands: serve, check, wirehost, version)");
             return 2;
         }
         return main.command.run(in, out, err);
--- a/src/main/java/heathsill/cli/Serve.java
+++ b/src/main/java/tinroad/cli/Serve.java
@@ -1,6 +1,6 @@
-package heathsill.cli;
+package tinroad.cli;
 
-import heathsill.config.ConfigException;
+import tinroad.config.ConfigException;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.PrintStream;
@@ -15,7 +15,7 @@
             server.awaitEnd();
             return 0;
         } catch (ConfigException | IOException e) {
-            err.println("heathsill: " + e.getMessage());
+            err.println("tinroad: " + e.getMessage());
             return 1;
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
--- a/src/main/java/heathsill/cli/Server.java
+++ b/src/main/java/tinroad/cli/Server.java
@@ -1,12 +1,12 @@
-package heathsill.cli;
+package tinroad.cli;
 
-import heathsill.OverloadController;
-import heathsill.config.GatewayConfig;
-import heathsill.core.Clock;
-import heathsill.core.Gateway;
-import heathsill.engine.EngineLink;
-import heathsill.fastcgi.FastCgiFront;
-import heathsill.roster.RosterReporter;
+import tinroad.OverloadController;
+import tinroad.config.GatewayConfig;
+import tinroad.core.Clock;
+import tinroad.core.Gateway;
+import tinroad.engine.EngineLink;
+import tinroad.fastcgi.FastCgiFront;
+import tinroad.roster.RosterReporter;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
--- a/src/main/java/heathsill/cli/Version.java
+++ b/src/main/java/tinroad/cli/Version.java
@@ -1,4 +1,4 @@
-package heathsill.cli;
+package tinroad.cli;
 
 import java.io.InputStream;
 import java.io.PrintStream;
@@ -8,7 +8,7 @@
     @Override
     public int run(InputStream in, PrintStream out, PrintStream err) {
         String version = Version.class.getPackage().getImplementationVersion();
-        out.println("heathsill " + (version == null ? "(not packaged)" : version));
+        out.println("tinroad " + (version == null ? "(not packaged)" : version));
         return 0;
     }
 }
--- a/src/main/java/heathsill/cli/WireHost.java
+++ b/src/main/java/tinroad/cli/WireHost.java
@@ -1,7 +1,7 @@
-package heathsill.cli;
+package tinroad.cli;
 
-import heathsill.OverloadController;
-import heathsill.drill.Drill;
+import tinroad.OverloadController;
+import tinroad.drill.Drill;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.PrintStream;
--- a/src/main/java/heathsill/config/ConfigException.java
+++ b/src/main/java/tinroad/config/ConfigException.java
@@ -1,4 +1,4 @@
-package heathsill.config;
+package tinroad.config;
 
 /** A configuration that can't be used; the message is the one line that the operator sees. */
 public final class ConfigException extends Exception {
--- a/src/main/java/heathsill/config/GatewayConfig.java
+++ b/src/main/java/tinroad/config/GatewayConfig.java
@@ -1,8 +1,8 @@
-package heathsill.config;
+package tinroad.config;
 
-import static heathsill.config.JsonFields.each;
-import static heathsill.config.JsonFields.number;
-import static heathsill.config.JsonFields.text;
+import static tinroad.config.JsonFields.each;
+import static tinroad.config.JsonFields.number;
+import static tinroad.config.JsonFields.text;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
--- a/src/main/java/heathsill/config/JsonFields.java
+++ b/src/main/java/tinroad/config/JsonFields.java
@@ -1,4 +1,4 @@
-package heathsill.config;
+package tinroad.config;
 
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
--- a/src/main/java/heathsill/config/Site.java
+++ b/src/main/java/tinroad/config/Site.java
@@ -1,6 +1,6 @@
-package heathsill.config;
+package tinroad.config;
 
-import heathsill.Controller;
+import tinroad.Controller;
 import java.util.List;
 
 /** The settings as the module takes them, and the names behind its numbers: classes, tenants and gauges. */
--- a/src/main/java/heathsill/config/SiteReader.java
+++ b/src/main/java/tinroad/config/SiteReader.java
@@ -1,17 +1,17 @@
-package heathsill.config;
+package tinroad.config;
 
-import static heathsill.config.JsonFields.each;
-import static heathsill.config.JsonFields.flag;
-import static heathsill.config.JsonFields.items;
-import static heathsill.config.JsonFields.number;
-import static heathsill.config.JsonFields.text;
+import static tinroad.config.JsonFields.each;
+import static tinroad.config.JsonFields.flag;
+import static tinroad.config.JsonFields.items;
+import static tinroad.config.JsonFields.number;
+import static tinroad.config.JsonFields.text;
 
 import com.fasterxml.jackson.core.JsonParser;
-import heathsill.Controller;
-import heathsill.Controller.Below;
-import heathsill.Controller.Halt;
-import heathsill.Controller.Say;
-import heathsill.Controller.Semantics;
+import tinroad.Controller;
+import tinroad.Controller.Below;
+import tinroad.Controller.Halt;
+import tinroad.Controller.Say;
+import tinroad.Controller.Semantics;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
--- a/src/main/java/heathsill/core/Clock.java
+++ b/src/main/java/tinroad/core/Clock.java
@@ -1,4 +1,4 @@
-package heathsill.core;
+package tinroad.core;
 
 /** Unix time in milliseconds that never steps back. */
 @FunctionalInterface
--- a/src/main/java/heathsill/core/Engine.java
+++ b/src/main/java/tinroad/core/Engine.java
@@ -1,6 +1,6 @@
-package heathsill.core;
+package tinroad.core;
 
-import heathsill.Controller;
+import tinroad.Controller;
 import io.netty.buffer.ByteBuf;
 
 /** The process that does the work, behind a link that may be down. */
--- a/src/main/java/heathsill/core/Front.java
+++ b/src/main/java/tinroad/core/Front.java
@@ -1,4 +1,4 @@
-package heathsill.core;
+package tinroad.core;
 
 /** A protocol's side of the gateway: hands requests in, takes answers, keeps the connections. */
 public interface Front {
--- a/src/main/java/heathsill/core/Gateway.java
+++ b/src/main/java/tinroad/core/Gateway.java
@@ -1,12 +1,12 @@
-package heathsill.core;
-
-import heathsill.Controller;
-import heathsill.Controller.Gauges;
-import heathsill.Controller.Outcome;
-import heathsill.Controller.RequestClass;
-import heathsill.Controller.Semantics;
-import heathsill.Controller.Settings;
-import heathsill.config.Site;
+package tinroad.core;
+
+import tinroad.Controller;
+import tinroad.Controller.Gauges;
+import tinroad.Controller.Outcome;
+import tinroad.Controller.RequestClass;
+import tinroad.Controller.Semantics;
+import tinroad.Controller.Settings;
+import tinroad.config.Site;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import java.util.ArrayDeque;
--- a/src/main/java/heathsill/core/Progress.java
+++ b/src/main/java/tinroad/core/Progress.java
@@ -1,4 +1,4 @@
-package heathsill.core;
+package tinroad.core;
 
 /** How far the attempt to run a request came. Only what was not sent is known never to have run. */
 public enum Progress {
--- a/src/main/java/heathsill/core/Repeats.java
+++ b/src/main/java/tinroad/core/Repeats.java
@@ -1,4 +1,4 @@
-package heathsill.core;
+package tinroad.core;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
--- a/src/main/java/heathsill/core/Requester.java
+++ b/src/main/java/tinroad/core/Requester.java
@@ -1,4 +1,4 @@
-package heathsill.core;
+package tinroad.core;
 
 /** Where the one final answer of a request goes. */
 @FunctionalInterface
--- a/src/main/java/heathsill/core/Timers.java
+++ b/src/main/java/tinroad/core/Timers.java
@@ -1,4 +1,4 @@
-package heathsill.core;
+package tinroad.core;
 
 /** Runs tasks later, on the thread that owns the gateway's state. */
 @FunctionalInterface
--- a/src/main/java/heathsill/drill/Drill.java
+++ b/src/main/java/tinroad/drill/Drill.java
@@ -1,6 +1,6 @@
-package heathsill.drill;
+package tinroad.drill;
 
-import heathsill.Controller;
+import tinroad.Controller;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
--- a/src/main/java/heathsill/drill/WireReader.java
+++ b/src/main/java/tinroad/drill/WireReader.java
@@ -1,13 +1,13 @@
-package heathsill.drill;
+package tinroad.drill;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
 import com.fasterxml.jackson.core.StreamReadFeature;
-import heathsill.Controller;
-import heathsill.Controller.Outcome;
-import heathsill.config.Site;
-import heathsill.config.SiteReader;
+import tinroad.Controller;
+import tinroad.Controller.Outcome;
+import tinroad.config.Site;
+import tinroad.config.SiteReader;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStream;
--- a/src/main/java/heathsill/drill/WireWriter.java
+++ b/src/main/java/tinroad/drill/WireWriter.java
@@ -1,9 +1,9 @@
-package heathsill.drill;
+package tinroad.drill;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.util.MinimalPrettyPrinter;
-import heathsill.Controller;
+import tinroad.Controller;
 import java.io.BufferedOutputStream;
 import java.io.IOException;
 import java.io.OutputStream;
--- a/src/main/java/heathsill/engine/EngineLink.java
+++ b/src/main/java/tinroad/engine/EngineLink.java
@@ -1,9 +1,9 @@
-package heathsill.engine;
+package tinroad.engine;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
-import heathsill.core.Engine;
-import heathsill.core.Progress;
+import tinroad.core.Engine;
+import tinroad.core.Progress;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufInputStream;
--- a/src/main/java/heathsill/engine/Notice.java
+++ b/src/main/java/tinroad/engine/Notice.java
@@ -1,11 +1,11 @@
-package heathsill.engine;
+package tinroad.engine;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
-import heathsill.Controller.Gauges;
-import heathsill.config.JsonFields;
-import heathsill.core.Engine.End;
+import tinroad.Controller.Gauges;
+import tinroad.config.JsonFields;
+import tinroad.core.Engine.End;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufInputStream;
 import io.netty.buffer.Unpooled;
--- a/src/main/java/heathsill/fastcgi/Exchange.java
+++ b/src/main/java/tinroad/fastcgi/Exchange.java
@@ -1,7 +1,7 @@
-package heathsill.fastcgi;
+package tinroad.fastcgi;
 
-import heathsill.core.Answer;
-import heathsill.core.Requester;
+import tinroad.core.Answer;
+import tinroad.core.Requester;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
--- a/src/main/java/heathsill/fastcgi/FastCgi.java
+++ b/src/main/java/tinroad/fastcgi/FastCgi.java
@@ -1,4 +1,4 @@
-package heathsill.fastcgi;
+package tinroad.fastcgi;
 
 /** The numbers of FastCGI 1.0. */
 final class FastCgi {
--- a/src/main/java/heathsill/fastcgi/FastCgiFront.java
+++ b/src/main/java/tinroad/fastcgi/FastCgiFront.java
@@ -1,8 +1,8 @@
-package heathsill.fastcgi;
+package tinroad.fastcgi;
 
-import heathsill.core.Clock;
-import heathsill.core.Front;
-import heathsill.core.Gateway;
+import tinroad.core.Clock;
+import tinroad.core.Front;
+import tinroad.core.Gateway;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
--- a/src/main/java/heathsill/fastcgi/FrontConnection.java
+++ b/src/main/java/tinroad/fastcgi/FrontConnection.java
@@ -1,8 +1,8 @@
-package heathsill.fastcgi;
+package tinroad.fastcgi;
 
-import heathsill.core.Answer;
-import heathsill.core.Gateway;
-import heathsill.core.Inbound;
+import tinroad.core.Answer;
+import tinroad.core.Gateway;
+import tinroad.core.Inbound;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFutureListener;
--- a/src/main/java/heathsill/fastcgi/Params.java
+++ b/src/main/java/tinroad/fastcgi/Params.java
@@ -1,6 +1,6 @@
-package heathsill.fastcgi;
+package tinroad.fastcgi;
 
-import heathsill.core.Inbound;
+import tinroad.core.Inbound;
 import io.netty.buffer.ByteBuf;
 import java.nio.charset.StandardCharsets;
 
--- a/src/main/java/heathsill/fastcgi/RecordDecoder.java
+++ b/src/main/java/tinroad/fastcgi/RecordDecoder.java
@@ -1,4 +1,4 @@
-package heathsill.fastcgi;
+package tinroad.fastcgi;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
--- a/src/main/java/heathsill/fastcgi/Responses.java
+++ b/src/main/java/tinroad/fastcgi/Responses.java
@@ -1,6 +1,6 @@
-package heathsill.fastcgi;
+package tinroad.fastcgi;
 
-import heathsill.core.Answer;
+import tinroad.core.Answer;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.ByteBufUtil;
--- a/src/main/java/heathsill/roster/RosterReporter.java
+++ b/src/main/java/tinroad/roster/RosterReporter.java
@@ -1,4 +1,4 @@
-package heathsill.roster;
+package tinroad.roster;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
--- a/src/test/java/heathsill/EmbeddingExampleTest.java
+++ b/src/test/java/tinroad/EmbeddingExampleTest.java
@@ -1,4 +1,4 @@
-package heathsill;
+package tinroad;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
--- a/src/test/java/heathsill/Fixture.java
+++ b/src/test/java/tinroad/Fixture.java
@@ -1,18 +1,18 @@
-package heathsill;
+package tinroad;
 
-import heathsill.Controller.Below;
-import heathsill.Controller.Dependency;
-import heathsill.Controller.Gauges;
-import heathsill.Controller.Goal;
-import heathsill.Controller.Halt;
-import heathsill.Controller.Outcome;
-import heathsill.Controller.Request;
-import heathsill.Controller.RequestClass;
-import heathsill.Controller.Rules;
-import heathsill.Controller.Say;
-import heathsill.Controller.Semantics;
-import heathsill.Controller.Settings;
-import heathsill.Controller.Tenant;
+import tinroad.Controller.Below;
+import tinroad.Controller.Dependency;
+import tinroad.Controller.Gauges;
+import tinroad.Controller.Goal;
+import tinroad.Controller.Halt;
+import tinroad.Controller.Outcome;
+import tinroad.Controller.Request;
+import tinroad.Controller.RequestClass;
+import tinroad.Controller.Rules;
+import tinroad.Controller.Say;
+import tinroad.Controller.Semantics;
+import tinroad.Controller.Settings;
+import tinroad.Controller.Tenant;
 import java.util.List;
 
 /** One controller on two cores with three classes: free, guarded and single-shot, and two tenants. */
--- a/src/test/java/heathsill/ModuleShapeTest.java
+++ b/src/test/java/tinroad/ModuleShapeTest.java
@@ -1,4 +1,4 @@
-package heathsill;
+package tinroad;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -12,7 +12,7 @@
 
 /** The module's size and independence, which the operators hold it to. */
 class ModuleShapeTest {
-    private static final Path MODULE = Path.of("src/main/java/heathsill/OverloadController.java");
+    private static final Path MODULE = Path.of("src/main/java/tinroad/OverloadController.java");
 
     @Test
     void theModuleStaysSmallEnoughToPortByHand() throws IOException {
--- a/src/test/java/heathsill/OverloadControllerTest.java
+++ b/src/test/java/tinroad/OverloadControllerTest.java
@@ -1,18 +1,18 @@
-package heathsill;
+package tinroad;
 
-import static heathsill.Fixture.FREE;
-import static heathsill.Fixture.GUARDED;
-import static heathsill.Fixture.ONCE;
+import static tinroad.Fixture.FREE;
+import static tinroad.Fixture.GUARDED;
+import static tinroad.Fixture.ONCE;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import heathsill.Controller.Below;
-import heathsill.Controller.Dependency;
-import heathsill.Controller.Gauges;
-import heathsill.Controller.Halt;
-import heathsill.Controller.Outcome;
-import heathsill.Controller.Say;
+import tinroad.Controller.Below;
+import tinroad.Controller.Dependency;
+import tinroad.Controller.Gauges;
+import tinroad.Controller.Halt;
+import tinroad.Controller.Outcome;
+import tinroad.Controller.Say;
 import java.lang.reflect.Field;
 import java.util.List;
 import java.util.Map;
--- a/src/test/java/heathsill/RuleChecker.java
+++ b/src/test/java/tinroad/RuleChecker.java
@@ -1,9 +1,9 @@
-package heathsill;
+package tinroad;
 
-import heathsill.Controller.Outcome;
-import heathsill.Controller.Request;
-import heathsill.Controller.Semantics;
-import heathsill.Controller.Settings;
+import tinroad.Controller.Outcome;
+import tinroad.Controller.Request;
+import tinroad.Controller.Semantics;
+import tinroad.Controller.Settings;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
--- a/src/test/java/heathsill/cli/MainTest.java
+++ b/src/test/java/tinroad/cli/MainTest.java
@@ -1,4 +1,4 @@
-package heathsill.cli;
+package tinroad.cli;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -61,6 +61,6 @@
     @Test
     void versionNamesTheProgram() {
         assertEquals(0, run("", "version"));
-        assertTrue(out.toString(StandardCharsets.UTF_8).startsWith("heathsill "));
+        assertTrue(out.toString(StandardCharsets.UTF_8).startsWith("tinroad "));
     }
 }
--- a/src/test/java/heathsill/drill/DrillTest.java
+++ b/src/test/java/tinroad/drill/DrillTest.java
@@ -1,11 +1,11 @@
-package heathsill.drill;
+package tinroad.drill;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import heathsill.Controller;
-import heathsill.OverloadController;
+import tinroad.Controller;
+import tinroad.OverloadController;
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
@@ -148,6 +148,6 @@
             throw new IllegalStateException("index out of range");
         }, batch(1, 1, begin(1)));
         assertTrue(out.startsWith("{\"t\":\"crash\",\"server_id\":1,\"reason_text\":\"java.lang.IllegalStateExc"), out);
-        assertTrue(err.toString(StandardCharsets.UTF_8).contains("at heathsill.drill.DrillTest"));
+        assertTrue(err.toString(StandardCharsets.UTF_8).contains("at tinroad.drill.DrillTest"));
     }
 }
