--- a/src/main/java/tinroad/cli/Server.java
+++ b/src/main/java/tinroad/cli/Server.java
@@ -12,6 +12,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
@@ -50,8 +51,8 @@
         loop.schedule(task, (long) (ms * 1e6), TimeUnit.NANOSECONDS);
     }
 
-    /** Listens, and begins to connect to the engine. */
-    void start() throws IOException, InterruptedException {
+    /** Listens, and begins to connect to the engine; returns the address that it listens on. */
+    InetSocketAddress start() throws IOException, InterruptedException {
         ChannelFuture bound = front.listen(loop, config.listen()).await();
         if (!bound.isSuccess()) {
             throw new IOException("can't listen on " + config.listen() + ": " + bound.cause().getMessage());
@@ -61,6 +62,7 @@
             roster.start();
             engine.start(gateway);
         });
+        return (InetSocketAddress) bound.channel().localAddress();
     }
 
     /** Leaves: answers all that was read, then ends. Blocks its caller, the thread that the notice comes on. */
--- a/src/main/java/tinroad/roster/RosterReporter.java
+++ b/src/main/java/tinroad/roster/RosterReporter.java
@@ -43,7 +43,7 @@
                     /** A roster that is down answers with an ICMP error: the next report is sent all the same. */
                     @Override
                     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) { }
-                }).bind(0).channel();
+                }).bind(0).addListener(bound -> send()).channel();
         loop.scheduleWithFixedDelay(this::send, PERIOD_MS, PERIOD_MS, TimeUnit.MILLISECONDS);
     }
 
@@ -55,7 +55,8 @@
     }
 
     private void send() {
-        if (reporting) {
+        // Guards against a report before the socket is open: it would be lost until the next period.
+        if (reporting && channel.isActive()) {
             String report = "HERE " + name + (on ? " on" : " off");
             channel.writeAndFlush(new DatagramPacket(ByteBufUtil.writeUtf8(channel.alloc(), report), roster));
         }
--- /dev/null
+++ b/src/test/java/tinroad/cli/ServerTest.java
@@ -0,0 +1,92 @@
+package tinroad.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.InputStreamReader;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import tinroad.Controller;
+import tinroad.config.GatewayConfig;
+import tinroad.config.Site;
+
+/** The whole program on ephemeral loopback ports: it starts, serves its health, drains and ends. */
+class ServerTest {
+    private static final int HUNG_MS = 60_000;
+    /** BEGIN_REQUEST, PARAMS with SCRIPT_NAME=/healthz, and the ends of both streams. */
+    private static final String HEALTH_CHECK = "\1\1\0\1\0\10\0\0\0\1\1\0\0\0\0\0\1\4\0\1\0\25\0\0\13\10SCRIPT_NAME/healthz"
+            + "\1\4\0\1\0\0\0\0\1\5\0\1\0\0\0\0";
+
+    private static InetSocketAddress any() {
+        return new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+    }
+
+    private static GatewayConfig config(ServerSocket engine, DatagramSocket roster) {
+        Controller.Settings settings = new Controller.Settings(
+                List.of(new Controller.RequestClass(500, 0, 1000, 1, 0, Controller.Semantics.FREE, 0, false, 0)),
+                List.of(), new Controller.Goal(1, 0, 0, 0), new Controller.Rules(100, 1, 0, 2500, 8, 1500),
+                new Controller.Dependency(Controller.Below.NONE, 0, 0, 0), Controller.Say.NONE, Controller.Halt.NONE,
+                2, 1, 1, false, false, 15000, 9000, 4, 70, 0, 1000, true, false, 0.1, 5, false);
+        return new GatewayConfig("n3", any(), (InetSocketAddress) engine.getLocalSocketAddress(),
+                (InetSocketAddress) roster.getLocalSocketAddress(), 1, 600, 1024,
+                new Site(settings, List.of("read"), List.of(), List.of("core_use")));
+    }
+
+    private static String check(InetSocketAddress address) throws IOException {
+        try (Socket caller = new Socket(address.getAddress(), address.getPort())) {
+            caller.setSoTimeout(HUNG_MS);
+            caller.getOutputStream().write(HEALTH_CHECK.getBytes(StandardCharsets.ISO_8859_1));
+            InputStream in = caller.getInputStream();
+            in.readNBytes(8);
+            return new BufferedReader(new InputStreamReader(in, StandardCharsets.ISO_8859_1)).readLine();
+        }
+    }
+
+    @Test
+    void itServesOnceTheEngineIsThereAndEndsWhenItIsToldTo() throws Exception {
+        try (ServerSocket engine = new ServerSocket(0, 5, InetAddress.getLoopbackAddress());
+                DatagramSocket roster = new DatagramSocket(0, InetAddress.getLoopbackAddress());
+                Server server = new Server(config(engine, roster))) {
+            engine.setSoTimeout(HUNG_MS);
+            InetSocketAddress address = server.start();
+            try (Socket link = engine.accept()) {
+                assertEquals("Status: 503 Service Unavailable", check(address));
+                link.getOutputStream().write("{\"type\":\"HELLO\",\"state\":\"fresh\",\"took\":1}\n".getBytes(
+                        StandardCharsets.US_ASCII));
+                roster.setSoTimeout(HUNG_MS);
+                DatagramPacket report = new DatagramPacket(new byte[64], 64);
+                roster.receive(report);
+                assertEquals("HERE n3 on", new String(report.getData(), 0, report.getLength(), StandardCharsets.UTF_8));
+                assertEquals("Status: 200 OK", check(address));
+                server.leave();
+                server.awaitEnd();
+                assertThrows(IOException.class, () -> check(address));
+            }
+        }
+    }
+
+    @Test
+    void anAddressInUseIsToldPlainly() throws Exception {
+        try (ServerSocket engine = new ServerSocket(0, 5, InetAddress.getLoopbackAddress());
+                DatagramSocket roster = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
+            GatewayConfig free = config(engine, roster);
+            GatewayConfig taken = new GatewayConfig(free.name(), (InetSocketAddress) engine.getLocalSocketAddress(),
+                    free.engine(), free.roster(), 1, 600, 1024, free.site());
+            try (Server server = new Server(taken)) {
+                String message = assertThrows(IOException.class, server::start).getMessage();
+                assertTrue(message.startsWith("can't listen on "), message);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/tinroad/engine/EngineLinkTest.java
@@ -0,0 +1,166 @@
+package tinroad.engine;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.Callable;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import tinroad.Controller.Gauges;
+import tinroad.core.Engine;
+import tinroad.core.Progress;
+
+/** The link against a scripted engine on an ephemeral loopback port; waits end by events, never by the clock. */
+class EngineLinkTest {
+    private static final List<String> GAUGES = List.of("core_use", "on_cores", "heap_share", "links");
+    /** Only a hung test waits this long. */
+    private static final long HUNG_S = 60;
+
+    private final BlockingQueue<String> heard = new LinkedBlockingQueue<>();
+    private MultiThreadIoEventLoopGroup group;
+    private ServerSocket server;
+    private EngineLink link;
+    private Socket socket;
+    private BufferedReader lines;
+
+    @BeforeEach
+    void start() throws IOException {
+        group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        server = new ServerSocket(0, 5, InetAddress.getLoopbackAddress());
+        server.setSoTimeout((int) TimeUnit.SECONDS.toMillis(HUNG_S));
+        link = new EngineLink(group.next(), (InetSocketAddress) server.getLocalSocketAddress(), GAUGES);
+        group.next().execute(() -> link.start(new Heard()));
+        accept();
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+        socket.close();
+        server.close();
+    }
+
+    private final class Heard implements Engine.Listener {
+        @Override public void attached(boolean fresh, double startedAgo) {
+            heard.add("attached " + fresh + " " + startedAgo);
+        }
+
+        @Override public void detached() {
+            heard.add("detached");
+        }
+
+        @Override public void ended(String id, Engine.End end, double took, ByteBuf result) {
+            heard.add(id + " " + end + " " + took + " " + result.toString(StandardCharsets.ISO_8859_1));
+        }
+
+        @Override public void gauges(String tag, Gauges gauges) {
+            heard.add(tag + " " + gauges.coreUse() + " " + gauges.onCores() + " " + gauges.connections());
+        }
+    }
+
+    private void accept() throws IOException {
+        socket = server.accept();
+        lines = new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
+    }
+
+    private void tell(String text) throws IOException {
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+    }
+
+    private void hears(String event) throws InterruptedException {
+        assertEquals(event, heard.poll(HUNG_S, TimeUnit.SECONDS));
+    }
+
+    private void hello() throws IOException, InterruptedException {
+        tell("{\"type\":\"HELLO\",\"state\":\"fresh\",\"took\":12.5}\n");
+        hears("attached true 12.5");
+    }
+
+    private <T> T onLoop(Callable<T> call) throws Exception {
+        return group.next().submit(call).get(HUNG_S, TimeUnit.SECONDS);
+    }
+
+    private Progress run(String id) throws Exception {
+        return onLoop(() -> link.run(id, "read", Unpooled.wrappedBuffer(new byte[] {0, -1, 'b'})));
+    }
+
+    @Test
+    void nothingIsSentBeforeHelloHoweverLateItComes() throws Exception {
+        assertEquals("{\"type\":\"ATTACH\",\"n\":0}", lines.readLine());
+        assertEquals(Progress.NOT_SENT, run("0a"));
+        assertEquals(false, onLoop(() -> link.askGauges("1")));
+        hello();
+        assertEquals(Progress.SENT, run("0b"));
+        assertEquals("{\"type\":\"RUN\",\"job\":\"0b\",\"kind\":\"read\",\"data\":\"AP9i\"}", lines.readLine());
+        assertTrue(onLoop(() -> link.askGauges("7")));
+        assertEquals("{\"type\":\"STAT\",\"ref\":\"7\"}", lines.readLine());
+        tell("{\"type\":\"STATS\",\"ref\":\"7\",\"gauges\":[0.5,3,0.1,9,77]}\n");
+        hears("7 0.5 3.0 9.0");
+    }
+
+    @Test
+    void aBrokenLinkComesBackAfterTheLastNoticeReadAndEachCountsOnce() throws Exception {
+        lines.readLine();
+        hello();
+        tell("{\"type\":\"DONE\",\"n\":1,\"job\":\"0a\",\"state\":\"done\",\"took\":3,\"data\":\"cmVz\"}\n"
+                + "{\"type\":\"NOTE\",\"n\":2,\"state\":\"hm\"}\n");
+        hears("0a DONE 3.0 res");
+        tell("{\"type\":\"DONE\",\"n\":3,\"job\":\"0b\",\"state\":\"crashed\",\"took\":4}\n{\"type\":\"DONE\",\"n\":4,\"jo");
+        hears("0b CRASHED 4.0 ");
+        socket.close();
+        hears("detached");
+        assertEquals(Progress.NOT_SENT, run("0c"));
+        accept();
+        assertEquals("{\"type\":\"ATTACH\",\"n\":3}", lines.readLine());
+        hello();
+        tell("{\"type\":\"DONE\",\"n\":3,\"job\":\"0b\",\"state\":\"crashed\",\"took\":4}\n"
+                + "{\"type\":\"DONE\",\"n\":4,\"job\":\"0d\",\"state\":\"stale\",\"took\":0}\n");
+        hears("0d STALE 0.0 ");
+    }
+
+    @Test
+    void whatIsNoNoticeIsSurvived() throws Exception {
+        lines.readLine();
+        hello();
+        tell("\n[]\n{\"type\":\"SING\",\"n\":1}\n{\"type\":5}\n{\"type\":\"DONE\",\"data\":\"%%%\"}\n\u0001\n"
+                + "x".repeat(EngineLink.LONGEST_LINE + 10) + "\n{\"type\":\"NO\",\"state\":\"STAT\"}\n"
+                + "{\"type\":\"NO\",\"state\":\"RUN\",\"job\":\"0a\"}\n");
+        hears("0a REJECTED 0.0 ");
+    }
+
+    @Property(seed = "20261203", tries = 500)
+    void garbageIsSurvivedAndACutLineIsNoNotice(@ForAll @Size(max = 200) byte[] garbage, @ForAll long seed) {
+        Notice.read(Unpooled.wrappedBuffer(garbage), GAUGES);
+        byte[] line = ("{\"type\":\"DONE\",\"n\":12,\"job\":\"0a\",\"state\":\"done\",\"took\":18.5,\"data\":\"cmVz\","
+                + "\"gauges\":[1,2,3,4],\"more\":{\"a\":[1]}}").getBytes(StandardCharsets.US_ASCII);
+        assertNotNull(Notice.read(Unpooled.wrappedBuffer(line), GAUGES));
+        Random random = new Random(seed);
+        int cut = random.nextInt(line.length);
+        assertNull(Notice.read(Unpooled.wrappedBuffer(line, 0, cut), GAUGES));
+        line[cut] = (byte) random.nextInt(256);
+        Notice.read(Unpooled.wrappedBuffer(line), GAUGES);
+    }
+}
