Bound what partial requests may take, and count the drain from the notice itself

Seen: reading the code for limits, not a run. RecordDecoder let a record be 64 KiB long, so 928 connections could hold 60 MB of direct memory where 24 MB are allowed; partial requests were bounded for each connection only, at more than the heap over all; STATs would have piled up on an engine that stopped reading; and Server.leave took the time of the drain on the event loop, so a stall there would have let runs begin later than the grace allows.

Now a record over 16 KiB is skipped and fails its request alone, all partial requests together stay under 16 MiB, askGauges waits for room, and the time of the notice is taken on the thread that it comes on. A Netty detail ruled the form: the frame length is computed once, so the decoder must wait for all 8 bytes of a header before it reads the padding length.

--- a/src/main/java/tinroad/cli/Server.java
+++ b/src/main/java/tinroad/cli/Server.java
@@ -67,7 +67,8 @@
 
     /** Leaves: answers all that was read, then ends. Blocks its caller, the thread that the notice comes on. */
     void leave() {
-        loop.execute(this::drain);
+        double noticedAt = clock.now();
+        loop.execute(() -> drain(noticedAt));
         try {
             ended.await((long) config.stopMs(), TimeUnit.MILLISECONDS);
         } catch (InterruptedException e) {
@@ -75,11 +76,12 @@
         }
     }
 
-    private void drain() {
-        double left = Math.max(0, config.stopMs() - EXIT_MARGIN);
-        gateway.drain(left);
+    private void drain(double noticedAt) {
+        double leaveAt = noticedAt + Math.max(0, config.stopMs() - EXIT_MARGIN);
+        gateway.drain(noticedAt, leaveAt);
+        double left = leaveAt - clock.now();
         after(Math.max(0, left - CLOSING), front::leave);
-        after(left, this::endOnceEmpty);
+        after(Math.max(0, left), this::endOnceEmpty);
     }
 
     private void endOnceEmpty() {
--- a/src/main/java/tinroad/core/Gateway.java
+++ b/src/main/java/tinroad/core/Gateway.java
@@ -194,15 +194,18 @@
 
     // --- drain ---
 
-    /** The notice to leave: everything read is answered before {@code stopMs} have passed. */
-    public void drain(double stopMs) {
+    /**
+     * The notice to leave, which came at {@code noticedAt}: everything read is answered by {@code leaveAt}. The
+     * time of the notice counts, not that of this call: what may still run hangs on it.
+     */
+    public void drain(double noticedAt, double leaveAt) {
         if (draining) {
             return;
         }
         draining = true;
-        LOG.info("draining: {} requests in hand, {} ms left", requests.size(), Math.round(stopMs));
+        LOG.info("draining: {} requests in hand, {} ms left", requests.size(), Math.round(leaveAt - clock.now()));
         if (started) {
-            tell(() -> controller.drain(clock.now(), clock.now() + stopMs));
+            tell(() -> controller.drain(noticedAt, leaveAt));
         }
         health(false);
     }
--- a/src/main/java/tinroad/engine/EngineLink.java
+++ b/src/main/java/tinroad/engine/EngineLink.java
@@ -95,13 +95,15 @@
 
     @Override
     public boolean askGauges(String tag) {
-        if (attached) {
-            send(json -> {
-                json.writeStringField("type", "STAT");
-                json.writeStringField("ref", tag);
-            });
+        // Guards against an engine that has stopped reading: questions don't pile up.
+        if (!attached || !link.channel().isWritable()) {
+            return false;
         }
-        return attached;
+        send(json -> {
+            json.writeStringField("type", "STAT");
+            json.writeStringField("ref", tag);
+        });
+        return true;
     }
 
     private interface Fields {
--- a/src/main/java/tinroad/fastcgi/Exchange.java
+++ b/src/main/java/tinroad/fastcgi/Exchange.java
@@ -30,21 +30,21 @@
     /** Adds to the parameters; false where they grow too long. */
     boolean addParams(ByteBuf content) {
         params = params.plus(content);
-        return params.bytes.readableBytes() <= MOST_PARAMS;
+        return connection.reserve(content.readableBytes()) && params.bytes.readableBytes() <= MOST_PARAMS;
     }
 
     /** Adds to the body; false where it grows too long. */
     boolean addBody(ByteBuf content) {
         body = body.plus(content);
-        return body.bytes.readableBytes() <= MOST_BODY;
+        return connection.reserve(content.readableBytes()) && body.bytes.readableBytes() <= MOST_BODY;
     }
 
     ByteBuf params() {
-        return params.bytes;
+        return params.bytes.duplicate();
     }
 
     ByteBuf body() {
-        return body.bytes;
+        return body.bytes.duplicate();
     }
 
     /** Copies what must outlive the buffer that is being read. */
@@ -58,6 +58,7 @@
     /** Lets go of what was read: from here on only the answer counts. */
     void handOver() {
         handed = true;
+        connection.reserve(-params.bytes.readableBytes() - body.bytes.readableBytes());
         params.release();
         body.release();
         params = Part.EMPTY;
--- a/src/main/java/tinroad/fastcgi/FastCgiFront.java
+++ b/src/main/java/tinroad/fastcgi/FastCgiFront.java
@@ -28,6 +28,8 @@
     private static final double CHECKS_IDLE_MS = 60_000;
     /** Descriptors kept for what is no client connection: listener, link, roster, the virtual machine's files. */
     private static final int RESERVED = 96;
+    /** Bounds what all requests that are not read whole yet take together. */
+    static final int MOST_PARTIAL = 16 * 1024 * 1024;
     private static final int BACKLOG = 1024;
     /** Answers that one connection may leave unread before no more is read from it: all that 32 requests get. */
     private static final WriteBufferWaterMark UNREAD_ANSWERS = new WriteBufferWaterMark(64 * 1024, 160 * 1024);
@@ -41,6 +43,7 @@
     private double idleAfter;
     private boolean leaving;
     private boolean full;
+    private int partialBytes;
 
     /** A front of {@code gateway}; a process may hold {@code sockets} descriptors. */
     public FastCgiFront(Clock clock, Gateway gateway, int sockets) {
@@ -99,6 +102,11 @@
         }
     }
 
+    boolean reserve(int bytes) {
+        partialBytes += bytes;
+        return partialBytes <= MOST_PARTIAL;
+    }
+
     double now() {
         return clock.now();
     }
--- a/src/main/java/tinroad/fastcgi/FrontConnection.java
+++ b/src/main/java/tinroad/fastcgi/FrontConnection.java
@@ -157,6 +157,11 @@
         open.values().forEach(Exchange::outliveRead);
     }
 
+    /** Counts bytes of partial requests in, or out again; false where all connections together hold too many. */
+    boolean reserve(int bytes) {
+        return front.reserve(bytes);
+    }
+
     // --- answers out ---
 
     /**
@@ -225,7 +230,12 @@
 
     @Override
     public void userEventTriggered(ChannelHandlerContext context, Object event) {
-        if (event == RecordDecoder.BROKEN || event instanceof ChannelInputShutdownEvent) {
+        if (event instanceof RecordDecoder.TooLong skipped) {
+            Exchange exchange = open.get(skipped.id());
+            if (exchange != null && !exchange.handed) {
+                fail(exchange);
+            }
+        } else if (event == RecordDecoder.BROKEN || event instanceof ChannelInputShutdownEvent) {
             // What was read whole is still answered; what is partial can never become whole.
             closeWhenDone = true;
             for (Exchange exchange : List.copyOf(open.values())) {
--- a/src/main/java/tinroad/fastcgi/RecordDecoder.java
+++ b/src/main/java/tinroad/fastcgi/RecordDecoder.java
@@ -3,44 +3,64 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.TooLongFrameException;
+import io.netty.util.ReferenceCountUtil;
 import java.nio.ByteOrder;
 
 /**
  * Cuts what comes in into records, header and padding included, as slices of the buffer that they were read
  * into. A record of another version means that the framing is lost: {@link #BROKEN} is fired after all records
- * before it, and what follows is thrown away.
+ * before it, and what follows is thrown away. A record that is too long is skipped, and {@link TooLong} fired.
  */
 final class RecordDecoder extends LengthFieldBasedFrameDecoder {
     /** The user event for lost framing. */
     static final Object BROKEN = new Object();
+    /** Bounds what one connection can have in a partial record; no stream of a good request is longer. */
+    static final int LONGEST_CONTENT = 16 * 1024;
 
+    private static final int ID_AT = 2;
     private static final int LENGTH_AT = 4;
+    /** Content length, padding length and a reserved byte: read together, so that the header is whole by then. */
+    private static final int LENGTH_SIZE = 4;
     private static final int PADDING_AT = 6;
-    private static final int LARGEST = FastCgi.HEADER + FastCgi.LARGEST_CONTENT + 255;
+    private static final int LONGEST_PADDING = 255;
 
     private boolean broken;
+    private int id;
+
+    /** The user event for a record that was skipped. */
+    record TooLong(int id) { }
 
     RecordDecoder() {
-        super(LARGEST, LENGTH_AT, 2, FastCgi.HEADER - PADDING_AT, 0);
+        super(FastCgi.HEADER + LONGEST_CONTENT + LONGEST_PADDING, LENGTH_AT, LENGTH_SIZE, 0, 0);
     }
 
     @Override
     protected Object decode(ChannelHandlerContext ctx, ByteBuf in) throws Exception {
-        if (!broken && in.isReadable() && in.getByte(in.readerIndex()) != FastCgi.VERSION) {
-            broken = true;
-            ctx.fireUserEventTriggered(BROKEN);
-        }
         if (broken) {
             in.skipBytes(in.readableBytes());
             return null;
         }
-        return in.readableBytes() < FastCgi.HEADER ? null : super.decode(ctx, in);
+        Object record = null;
+        try {
+            record = super.decode(ctx, in);
+        } catch (TooLongFrameException e) {
+            ctx.fireUserEventTriggered(new TooLong(id));
+        }
+        if (broken) {
+            ReferenceCountUtil.release(record);
+            ctx.fireUserEventTriggered(BROKEN);
+            return null;
+        }
+        return record;
     }
 
-    /** The padding, one byte on from the length, belongs to the record. */
+    /** Called once for each record, when its header has come in. */
     @Override
     protected long getUnadjustedFrameLength(ByteBuf buf, int offset, int length, ByteOrder order) {
-        return buf.getUnsignedShort(offset) + (long) buf.getUnsignedByte(offset + PADDING_AT - LENGTH_AT);
+        broken |= buf.getByte(offset - LENGTH_AT) != FastCgi.VERSION;
+        id = buf.getUnsignedShort(offset - LENGTH_AT + ID_AT);
+        return broken ? 0 : buf.getUnsignedShort(offset) + (long) buf.getUnsignedByte(offset + PADDING_AT - LENGTH_AT);
     }
 
     /** Whether a record has begun to come in and is not whole yet. */
--- a/src/test/java/tinroad/core/GatewayTest.java
+++ b/src/test/java/tinroad/core/GatewayTest.java
@@ -197,8 +197,8 @@
     void theNoticeToLeaveReachesTheModuleOnceAndHealthStaysBad() {
         List<Boolean> told = new ArrayList<>();
         h.gateway.onHealth(told::add);
-        h.gateway.drain(3000);
-        h.gateway.drain(3000);
+        h.gateway.drain(h.now - 40, h.now + 2960);
+        h.gateway.drain(h.now, h.now + 3000);
         h.module.act.health(true, true);
         assertEquals(List.of("drain 3000"), h.module.heard);
         assertEquals(List.of(false), told);
--- a/src/test/java/tinroad/fastcgi/FrontConnectionTest.java
+++ b/src/test/java/tinroad/fastcgi/FrontConnectionTest.java
@@ -231,6 +231,23 @@
         assertFalse(channel.isOpen());
     }
 
+    @Test
+    void aRecordThatIsTooLongFailsItsRequestAlone() {
+        byte[] tooLong = Records.record(5, 1, new byte[RecordDecoder.LONGEST_CONTENT + 300], 0);
+        Cuts.feed(channel, Cuts.join(Records.begin(1, 1, 1), tooLong, Records.whole(2, Records.fields(id(2)), "")), 5);
+        done(2, "fine");
+        assertEquals(List.of("1: " + INVALID, "2: " + SERVED + "fine"), answers());
+    }
+
+    @Test
+    void partialRequestsAreBoundedOverAllConnections() {
+        assertTrue(front.reserve(FastCgiFront.MOST_PARTIAL - 100));
+        byte[] part = Records.record(4, 1, new byte[101], 0);
+        receive(Records.begin(1, 1, 1), part);
+        assertEquals(List.of("1: " + INVALID), answers());
+        assertTrue(front.reserve(100), "what failed is counted out again");
+    }
+
     @Test
     void openRequestsAndParametersAreBounded() {
         for (int i = 1; i <= FrontConnection.MOST_OPEN + 1; i++) {
