--- a/src/test/java/tinroad/cli/MainTest.java
+++ b/src/test/java/tinroad/cli/MainTest.java
@@ -51,6 +51,12 @@
         return Files.writeString(dir.resolve("config.json"), text).toString();
     }
 
+    @Test
+    void theExampleConfigurationStarts() {
+        assertEquals(0, run("", "check", "--start", "--config", "deploy/example.json"), err::toString);
+        assertTrue(out.toString(StandardCharsets.UTF_8).startsWith("ok: n3 with classes [order-status, new-order]"));
+    }
+
     @Test
     void wirehostAnswersTheSimulator() {
         assertEquals(0, run("{\"t\":\"mark\",\"moment\":1.0,\"turn\":7}\n{\"t\":\"eob\"}\n", "wirehost"));
