Tell the module of a notice to leave that came before the engine

Seen: reading Gateway.attached against the rule on drains. A SIGTERM before the first HELLO made the health bad, but the module never heard of it and would have admitted work after the grace. Lines: Gateway.drain and attached. Test: aNoticeThatComesBeforeTheEngineIsToldToTheModuleToo (failed before: `[]`).

Also checked: whether closing after lost framing can cost the answer before it, as a close with bytes unread resets a connection.

--- a/src/main/java/tinroad/core/Gateway.java
+++ b/src/main/java/tinroad/core/Gateway.java
@@ -59,6 +59,8 @@
     private boolean started;
     private boolean healthy;
     private boolean draining;
+    private double drainedAt;
+    private double leaveAt;
     private long timerTags;
     private Gauges lastGauges = NO_GAUGES;
     private double gaugesAt = Double.NEGATIVE_INFINITY;
@@ -146,8 +148,9 @@
             started = true;
             LOG.info("engine attached: {}, up for {} ms", fresh ? "fresh" : "seasoned", Math.round(startedAgo));
             tell(() -> controller.start(clock.now(), seed, site.settings()));
+            // Guards against a notice to leave that came before the engine: the module has to know it too.
             if (draining) {
-                health(false);
+                tell(() -> controller.drain(drainedAt, leaveAt));
             }
             return;
         }
@@ -195,17 +198,19 @@
     // --- drain ---
 
     /**
-     * The notice to leave, which came at {@code noticedAt}: everything read is answered by {@code leaveAt}. The
+     * The notice to leave, which came at {@code noticedAt}: everything read is answered by {@code leavingAt}. The
      * time of the notice counts, not that of this call: what may still run hangs on it.
      */
-    public void drain(double noticedAt, double leaveAt) {
+    public void drain(double noticedAt, double leavingAt) {
         if (draining) {
             return;
         }
         draining = true;
+        drainedAt = noticedAt;
+        leaveAt = leavingAt;
         LOG.info("draining: {} requests in hand, {} ms left", requests.size(), Math.round(leaveAt - clock.now()));
         if (started) {
-            tell(() -> controller.drain(noticedAt, leaveAt));
+            tell(() -> controller.drain(drainedAt, leaveAt));
         }
         health(false);
     }
--- a/src/main/java/tinroad/fastcgi/FastCgiFront.java
+++ b/src/main/java/tinroad/fastcgi/FastCgiFront.java
@@ -74,11 +74,9 @@
 
     /** One pass over the connections, which closes idle ones. */
     void pass() {
-        double after = leaving ? 0 : idleAfter;
-        if (leaving || idleAfter > 0) {
-            double now = clock.now();
-            List.copyOf(connections).forEach(c -> c.closeIdle(now, after, leaving ? 0 : CHECKS_IDLE_MS));
-        }
+        double now = clock.now();
+        double after = leaving ? 0 : idleAfter > 0 ? idleAfter : Double.MAX_VALUE;
+        List.copyOf(connections).forEach(c -> c.closeIdle(now, after, leaving ? 0 : CHECKS_IDLE_MS));
     }
 
     void opened(FrontConnection connection) {
--- a/src/main/java/tinroad/fastcgi/Params.java
+++ b/src/main/java/tinroad/fastcgi/Params.java
@@ -30,6 +30,7 @@
         void pair(String name, ByteBuf in, int length);
     }
 
+    /** Reads the fields; what does not come out even is malformed as a whole. */
     static Params read(ByteBuf in) {
         Params params = new Params();
         params.whole = pairs(in, params::set);
--- a/src/test/java/tinroad/cli/ServerTest.java
+++ b/src/test/java/tinroad/cli/ServerTest.java
@@ -53,6 +53,16 @@
         }
     }
 
+    /** The framing is lost, with much still to be read: the answer before it comes all the same. */
+    private static String checkThenGarbage(InetSocketAddress address) throws IOException {
+        try (Socket caller = new Socket(address.getAddress(), address.getPort())) {
+            caller.setSoTimeout(HUNG_MS);
+            caller.getOutputStream().write((HEALTH_CHECK + "x".repeat(300_000)).getBytes(StandardCharsets.ISO_8859_1));
+            byte[] all = caller.getInputStream().readAllBytes();
+            return new String(all, 8, all.length - 8, StandardCharsets.ISO_8859_1).lines().findFirst().orElseThrow();
+        }
+    }
+
     @Test
     void itServesOnceTheEngineIsThereAndEndsWhenItIsToldTo() throws Exception {
         try (ServerSocket engine = new ServerSocket(0, 5, InetAddress.getLoopbackAddress());
@@ -69,6 +79,7 @@
                 roster.receive(report);
                 assertEquals("HERE n3 on", new String(report.getData(), 0, report.getLength(), StandardCharsets.UTF_8));
                 assertEquals("Status: 200 OK", check(address));
+                assertEquals("Status: 200 OK", checkThenGarbage(address));
                 server.leave();
                 server.awaitEnd();
                 assertThrows(IOException.class, () -> check(address));
--- a/src/test/java/tinroad/core/GatewayTest.java
+++ b/src/test/java/tinroad/core/GatewayTest.java
@@ -205,6 +205,15 @@
         assertFalse(h.gateway.healthy());
     }
 
+    @Test
+    void aNoticeThatComesBeforeTheEngineIsToldToTheModuleToo() {
+        Harness early = new Harness(0);
+        early.gateway.drain(early.now, early.now + 3000);
+        early.gateway.attached(true, 10);
+        assertEquals(List.of("drain 3000"), early.module.heard);
+        assertFalse(early.gateway.healthy());
+    }
+
     @Test
     void unknownClassesAndTenantsAreInvalid() {
         ask("nothing");
