Keep the gateway alive when an Error ends an event, and end a resend that fails

Seen: reading the paths that a broken link and a full direct memory take. Gateway.tell left `handling` set when an Error passed through, after which no event would have reached the module; Gateway.attached would have turned round for ever had the link broken during the resend, as send puts each one back. Checked: a new test for each; the first shows the requests after the Error served, the second ends. FrontConnection.answer stops the JDK's own out of direct memory as well as Netty's.

--- a/src/main/java/tinroad/core/Gateway.java
+++ b/src/main/java/tinroad/core/Gateway.java
@@ -155,11 +155,10 @@
             return;
         }
         LOG.info("engine attached again");
-        for (Request r = unsent.poll(); r != null; r = unsent.poll()) {
-            if (!r.answered) {
-                send(r);
-            }
-        }
+        // A copy: guards against turning round here while the link breaks anew, which puts each one back.
+        List<Request> waiting = List.copyOf(unsent);
+        unsent.clear();
+        waiting.forEach(this::send);
     }
 
     @Override
@@ -286,14 +285,18 @@
             return;
         }
         handling = true;
-        for (Runnable next = event; next != null; next = followUps.poll()) {
-            try {
-                next.run();
-            } catch (RuntimeException e) {
-                LOG.error("module failed", e);
+        try {
+            for (Runnable next = event; next != null; next = followUps.poll()) {
+                try {
+                    next.run();
+                } catch (RuntimeException e) {
+                    LOG.error("module failed", e);
+                }
             }
+        } finally {
+            // Guards against an Error, such as direct memory used up: without this no event would be told again.
+            handling = false;
         }
-        handling = false;
     }
 
     private void timerDue(String token) {
--- a/src/main/java/tinroad/fastcgi/FrontConnection.java
+++ b/src/main/java/tinroad/fastcgi/FrontConnection.java
@@ -12,7 +12,6 @@
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.util.collection.IntObjectHashMap;
 import io.netty.util.collection.IntObjectMap;
-import io.netty.util.internal.OutOfDirectMemoryError;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -174,7 +173,7 @@
         }
         try {
             write(exchange, Responses.answer(ctx.alloc(), exchange.id, answer));
-        } catch (RuntimeException | OutOfDirectMemoryError e) {
+        } catch (RuntimeException | OutOfMemoryError e) {
             exceptionCaught(ctx, e);
         }
     }
--- a/src/test/java/tinroad/core/GatewayTest.java
+++ b/src/test/java/tinroad/core/GatewayTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.buffer.ByteBuf;
@@ -140,6 +141,30 @@
         assertEquals(List.of("SERVED RAN result"), answers.got);
     }
 
+    @Test
+    void aLinkThatBreaksAnewKeepsWhatIsStillToBeSent() {
+        h.linkUp = false;
+        h.module.onRequest = r -> h.module.act.run(r.id());
+        ask("order");
+        h.gateway.attached(false, 0);
+        h.linkUp = true;
+        h.gateway.attached(false, 0);
+        assertEquals(List.of("RUN " + ID + " order body"), h.runs);
+    }
+
+    @Test
+    void anErrorWhileTheModuleActsLeavesTheGatewayAlive() {
+        h.module.onRequest = r -> {
+            throw new OutOfMemoryError("on purpose");
+        };
+        assertThrows(OutOfMemoryError.class, () -> ask("read"));
+        h.module.onRequest = r -> h.module.act.run(r.id());
+        ask(h, OTHER, "read", h.now);
+        done(h, OTHER, "fine");
+        h.pass(1100);
+        assertEquals(List.of("SERVED RAN fine", "FAILED NOT_SENT"), answers.got);
+    }
+
     @Test
     void whatCouldNotBeSentInTimeFailsAndNeverRuns() {
         h.linkUp = false;
