--- a/src/main/java/tinroad/engine/EngineLink.java
+++ b/src/main/java/tinroad/engine/EngineLink.java
@@ -9,6 +9,7 @@
 import io.netty.buffer.ByteBufInputStream;
 import io.netty.buffer.ByteBufOutputStream;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -55,16 +56,26 @@
 
     /** Connects, and keeps connecting; {@code events} hears what the engine tells. */
     public void start(Listener events) {
-        listener = events;
+        listen(events);
         connect();
     }
 
+    /** Sets who hears what the engine tells. */
+    void listen(Listener events) {
+        listener = events;
+    }
+
+    /** What a connection to the engine is read with. */
+    ChannelHandler[] handlers() {
+        return new ChannelHandler[] {new LineBasedFrameDecoder(LONGEST_LINE), new Notices()};
+    }
+
     private void connect() {
         new Bootstrap().group(loop).channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true)
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
-                        channel.pipeline().addLast(new LineBasedFrameDecoder(LONGEST_LINE), new Notices());
+                        channel.pipeline().addLast(handlers());
                     }
                 }).connect(address).addListener((ChannelFuture done) -> {
                     if (!done.isSuccess()) {
--- a/src/test/java/tinroad/engine/EngineLinkTest.java
+++ b/src/test/java/tinroad/engine/EngineLinkTest.java
@@ -8,6 +8,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.channel.nio.NioIoHandler;
 import java.io.BufferedReader;
 import java.io.IOException;
@@ -17,12 +18,14 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.Callable;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.Size;
@@ -30,6 +33,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import tinroad.Controller.Gauges;
+import tinroad.Cuts;
 import tinroad.core.Engine;
 import tinroad.core.Progress;
 
@@ -63,7 +67,7 @@
         server.close();
     }
 
-    private final class Heard implements Engine.Listener {
+    private class Heard implements Engine.Listener {
         @Override public void attached(boolean fresh, double startedAgo) {
             heard.add("attached " + fresh + " " + startedAgo);
         }
@@ -151,6 +155,24 @@
         hears("0a REJECTED 0.0 ");
     }
 
+    @Property(seed = "20261204", tries = 200)
+    void noticesAreUnderstoodHoweverTheyAreCutAndWhateverIsBetween(@ForAll long seed,
+            @ForAll @Size(max = 100) byte[] garbage) {
+        EngineLink cut = new EngineLink(null, null, GAUGES);
+        List<String> ended = new ArrayList<>();
+        cut.listen(new Heard() {
+            @Override public void ended(String id, Engine.End end, double took, ByteBuf result) {
+                ended.add(id + " " + end + " " + result.toString(StandardCharsets.ISO_8859_1));
+            }
+        });
+        EmbeddedChannel channel = new EmbeddedChannel(cut.handlers());
+        for (int n = 1; n <= 20; n++) {
+            Cuts.feed(channel, Cuts.join(garbage, ("\n{\"type\":\"DONE\",\"n\":" + n + ",\"job\":\"" + n
+                    + "\",\"state\":\"done\",\"took\":1,\"data\":\"cmVz\"}\n").getBytes(StandardCharsets.US_ASCII)), seed + n);
+        }
+        assertEquals(IntStream.rangeClosed(1, 20).mapToObj(n -> n + " DONE res").toList(), ended);
+    }
+
     @Property(seed = "20261203", tries = 500)
     void garbageIsSurvivedAndACutLineIsNoNotice(@ForAll @Size(max = 200) byte[] garbage, @ForAll long seed) {
         Notice.read(Unpooled.wrappedBuffer(garbage), GAUGES);
