Start the guard of due times with the module, not in the constructor

Seen: reading; Gateway's constructor handed out a reference to itself through the timer of the guard before it was complete. There is nothing to guard before the engine is attached, so Gateway.attached starts it. 123 tests green, among them the guard's.

--- a/src/main/java/tinroad/core/Gateway.java
+++ b/src/main/java/tinroad/core/Gateway.java
@@ -88,7 +88,6 @@
         for (String name : site.tenantNames()) {
             tenantIndex.put(name, tenantIndex.size());
         }
-        timers.after(GUARD_PERIOD, this::guard);
     }
 
     /** Adds a front; all are added before the first request. */
@@ -147,6 +146,7 @@
         if (!started) {
             started = true;
             LOG.info("engine attached: {}, up for {} ms", fresh ? "fresh" : "seasoned", Math.round(startedAgo));
+            timers.after(GUARD_PERIOD, this::guard);
             tell(() -> controller.start(clock.now(), seed, site.settings()));
             // Guards against a notice to leave that came before the engine: the module has to know it too.
             if (draining) {
