Test the full connection table and the caller that does not read

Seen: both guards (FastCgiFront.opened, FrontConnection.channelWritabilityChanged) rested on reading alone. Two tests show them at work: the connection beyond the bound is closed unread and room comes back; reading stops while answers pile up and goes on after. 125 tests green; no code changed.

--- a/src/test/java/tinroad/fastcgi/FrontConnectionTest.java
+++ b/src/test/java/tinroad/fastcgi/FrontConnectionTest.java
@@ -248,6 +248,31 @@
         assertTrue(front.reserve(100), "what failed is counted out again");
     }
 
+    @Test
+    void aFullTableTurnsAConnectionAwayUnread() {
+        front = new FastCgiFront(h, h.gateway, 97);
+        assertEquals(1, front.mostConnections());
+        EmbeddedChannel first = connect();
+        channel = connect();
+        assertFalse(channel.isOpen());
+        assertTrue(first.isOpen());
+        first.close();
+        channel = connect();
+        receive(Records.whole(1, Records.fields(id(1)), ""));
+        done(1, "fine");
+        assertEquals(List.of("1: " + SERVED + "fine"), answers());
+    }
+
+    @Test
+    void fromACallerThatDoesNotReadNothingMoreIsReadUntilItDoes() {
+        channel.unsafe().outboundBuffer().setUserDefinedWritability(1, false);
+        channel.runPendingTasks();
+        assertFalse(channel.config().isAutoRead());
+        channel.unsafe().outboundBuffer().setUserDefinedWritability(1, true);
+        channel.runPendingTasks();
+        assertTrue(channel.config().isAutoRead());
+    }
+
     @Test
     void openRequestsAndParametersAreBounded() {
         for (int i = 1; i <= FrontConnection.MOST_OPEN + 1; i++) {
