Follow SIGHUP to the new addresses of engine and roster instead of ending on it

No code handled SIGHUP, so the virtual machine's default ended the process; Server took both addresses once and kept them for good.

EngineLink.move connects to the new address at once, writes nothing more to the old and reads it until it ends; counted attempts keep two links from replacing each other. Reports go every 250 ms. Ruled out: lost notices across the move (ATTACH carries the last n; each n counts once), an end by a second SIGHUP or one during a drain (ServeTest sends both to a real process).

--- a/src/main/java/tinroad/cli/GatewayCommand.java
+++ b/src/main/java/tinroad/cli/GatewayCommand.java
@@ -31,7 +31,8 @@
     /** Does what the command is for. */
     abstract void run(GatewayConfig config, PrintStream out) throws IOException, InterruptedException;
 
-    private GatewayConfig read() throws ConfigException {
+    /** Reads the configuration, as it is now. */
+    final GatewayConfig read() throws ConfigException {
         String path = file != null ? file : System.getenv(VARIABLE);
         if (path == null || path.isEmpty()) {
             throw new ConfigException("no configuration: give --config FILE or set " + VARIABLE);
--- a/src/main/java/tinroad/cli/Server.java
+++ b/src/main/java/tinroad/cli/Server.java
@@ -65,6 +65,15 @@
         return (InetSocketAddress) bound.channel().localAddress();
     }
 
+    /** Goes on with the addresses of engine and roster in {@code next}; all else in it counts at the next start. */
+    void reload(GatewayConfig next) {
+        loop.execute(() -> {
+            LOG.info("configuration read again: engine {}, roster {}", next.engine(), next.roster());
+            engine.move(next.engine());
+            roster.move(next.roster());
+        });
+    }
+
     /** Leaves: answers all that was read, then ends. Blocks its caller, the thread that the notice comes on. */
     void leave() {
         double noticedAt = clock.now();
--- a/src/main/java/tinroad/config/GatewayConfig.java
+++ b/src/main/java/tinroad/config/GatewayConfig.java
@@ -32,7 +32,8 @@
         } catch (NoSuchFileException e) {
             throw new ConfigException(file + ": no such file");
         } catch (JsonProcessingException e) {
-            throw new ConfigException(file + ": not JSON: " + e.getOriginalMessage());
+            throw new ConfigException(file + ": not JSON: wrong at line " + e.getLocation().getLineNr() + ", column "
+                    + e.getLocation().getColumnNr());
         } catch (IOException e) {
             throw new ConfigException(file + ": can't be read: " + e.getMessage());
         }
--- a/src/main/java/tinroad/engine/EngineLink.java
+++ b/src/main/java/tinroad/engine/EngineLink.java
@@ -28,22 +28,28 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** The link to the engine: attaches, tells its notices on, and comes back after it broke. */
+/**
+ * The link to the engine: attaches, tells its notices on, comes back after it broke, and moves to another address.
+ * Commands go to one link at a time; what an earlier one still brings is read until it ends.
+ */
 public final class EngineLink implements Engine {
     /** A line holds a result of 4 KiB in base64 and a few words; a longer one is skipped. */
     static final int LONGEST_LINE = 64 * 1024;
     private static final long FIRST_RETRY_MS = 20;
     private static final long LAST_RETRY_MS = 1000;
+    /** So long an earlier link is still read once a new one has taken over, in ms; then it is closed. */
+    private static final long HAND_OVER_MS = 500;
     private static final JsonFactory JSON = new JsonFactory();
     private static final Logger LOG = LoggerFactory.getLogger("engine");
 
     private final EventLoop loop;
-    private final InetSocketAddress address;
     private final List<String> gaugeNames;
+    private InetSocketAddress address;
     private Listener listener;
+    /** The link that commands go to: HELLO was read on it. Null while there is none. */
     private ChannelHandlerContext link;
-    /** HELLO was read on the present link. */
-    private boolean attached;
+    /** Counts the attempts to connect: what an earlier one brings about decides nothing any more. */
+    private int attempts;
     private long lastNotice;
     private long retryMs = FIRST_RETRY_MS;
 
@@ -65,12 +71,45 @@
         listener = events;
     }
 
+    /**
+     * Moves to another address. Commands wait until the engine answers there; the link to the old address is read
+     * until then, so that no notice is missed.
+     */
+    public void move(InetSocketAddress to) {
+        if (to.equals(address)) {
+            return;
+        }
+        address = to;
+        LOG.info("moving to {}", to);
+        retryMs = FIRST_RETRY_MS;
+        leaveLink();
+        connect();
+    }
+
+    /** No command goes to the present link any more; it ends by itself, or once the next has taken over. */
+    private void leaveLink() {
+        if (link != null) {
+            ChannelHandlerContext old = link;
+            link = null;
+            loop.schedule(() -> closeOnceReplaced(old), HAND_OVER_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void closeOnceReplaced(ChannelHandlerContext old) {
+        if (link != null) {
+            old.close();
+        } else if (old.channel().isActive()) {
+            loop.schedule(() -> closeOnceReplaced(old), HAND_OVER_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
     /** What a connection to the engine is read with. */
     ChannelHandler[] handlers() {
-        return new ChannelHandler[] {new LineBasedFrameDecoder(LONGEST_LINE), new Notices()};
+        return new ChannelHandler[] {new LineBasedFrameDecoder(LONGEST_LINE), new Notices(attempts)};
     }
 
     private void connect() {
+        int attempt = ++attempts;
         new Bootstrap().group(loop).channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true)
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
@@ -79,22 +118,29 @@
                     }
                 }).connect(address).addListener((ChannelFuture done) -> {
                     if (!done.isSuccess()) {
-                        reconnect();
+                        reconnect(attempt);
                     }
                 });
     }
 
-    private void reconnect() {
-        loop.schedule(this::connect, retryMs, TimeUnit.MILLISECONDS);
-        retryMs = Math.min(LAST_RETRY_MS, 2 * retryMs);
+    /** Tries again, unless another attempt was made meanwhile: guards against two links that replace each other. */
+    private void reconnect(int after) {
+        if (after == attempts) {
+            loop.schedule(() -> {
+                if (after == attempts) {
+                    connect();
+                }
+            }, retryMs, TimeUnit.MILLISECONDS);
+            retryMs = Math.min(LAST_RETRY_MS, 2 * retryMs);
+        }
     }
 
     @Override
     public Progress run(String id, String kind, ByteBuf body) {
-        if (!attached) {
+        if (link == null) {
             return Progress.NOT_SENT;
         }
-        send(json -> {
+        send(link, json -> {
             json.writeStringField("type", "RUN");
             json.writeStringField("job", id);
             json.writeStringField("kind", kind);
@@ -107,10 +153,10 @@
     @Override
     public boolean askGauges(String tag) {
         // Guards against an engine that has stopped reading: questions don't pile up.
-        if (!attached || !link.channel().isWritable()) {
+        if (link == null || !link.channel().isWritable()) {
             return false;
         }
-        send(json -> {
+        send(link, json -> {
             json.writeStringField("type", "STAT");
             json.writeStringField("ref", tag);
         });
@@ -121,8 +167,8 @@
         void write(JsonGenerator json) throws IOException;
     }
 
-    private void send(Fields fields) {
-        ByteBuf line = link.alloc().buffer();
+    private static void send(ChannelHandlerContext to, Fields fields) {
+        ByteBuf line = to.alloc().buffer();
         try (JsonGenerator json = JSON.createGenerator((OutputStream) new ByteBufOutputStream(line))) {
             json.writeStartObject();
             fields.write(json);
@@ -133,15 +179,26 @@
             line.release();
             throw new UncheckedIOException(e);
         }
-        link.writeAndFlush(line, link.voidPromise());
+        to.writeAndFlush(line, to.voidPromise());
     }
 
     /** One life of the link. */
     private final class Notices extends SimpleChannelInboundHandler<ByteBuf> {
+        private final int attempt;
+        private ChannelHandlerContext context;
+
+        Notices(int attempt) {
+            this.attempt = attempt;
+        }
+
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
-            link = ctx;
-            send(json -> {
+            context = ctx;
+            if (attempt != attempts) {
+                ctx.close();
+                return;
+            }
+            send(ctx, json -> {
                 json.writeStringField("type", "ATTACH");
                 json.writeNumberField("n", lastNotice);
             });
@@ -167,9 +224,12 @@
         private void tell(Notice notice) {
             switch (notice.type()) {
                 case "HELLO" -> {
-                    attached = true;
-                    retryMs = FIRST_RETRY_MS;
-                    listener.attached(notice.state().equals("fresh"), notice.took());
+                    // Guards against the greeting of a link that was given up for another address meanwhile.
+                    if (attempt == attempts) {
+                        link = context;
+                        retryMs = FIRST_RETRY_MS;
+                        listener.attached(notice.state().equals("fresh"), notice.took());
+                    }
                 }
                 case "DONE" -> listener.ended(notice.job(), notice.end(), notice.took(), notice.data());
                 case "STATS" -> listener.gauges(notice.ref(), notice.gauges());
@@ -185,21 +245,23 @@
 
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
-            boolean was = attached;
-            attached = false;
-            if (was) {
+            if (ctx == link) {
+                link = null;
                 listener.detached();
             }
-            reconnect();
+            reconnect(attempt);
         }
 
-        /** Exceptions stop here: a line too long is skipped, anything else costs the link, which comes back. */
+        /** Exceptions stop here: a line too long is skipped, anything else costs the link, which comes back.
+         * How a link ends that another has replaced is no news. */
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
             if (cause instanceof TooLongFrameException) {
                 LOG.warn("line skipped: too long");
             } else {
-                LOG.warn("link failed: {}", cause.toString());
+                if (attempt == attempts) {
+                    LOG.warn("link failed: {}", cause.toString());
+                }
                 ctx.close();
             }
         }
--- a/src/main/java/tinroad/roster/RosterReporter.java
+++ b/src/main/java/tinroad/roster/RosterReporter.java
@@ -14,12 +14,15 @@
 
 /** Reports to the roster that this gateway is there, and whether it takes work. */
 public final class RosterReporter {
-    /** The roster forgets a gateway 3 s after its last report; one lost datagram must not do that. */
-    private static final long PERIOD_MS = 1000;
+    /**
+     * The roster forgets a gateway 3 s after its last report, and a quarter of the datagrams may be lost: at this
+     * period a lapse takes a dozen losses in a row, and a change that is lost is told again soon.
+     */
+    private static final long PERIOD_MS = 250;
 
     private final EventLoop loop;
-    private final InetSocketAddress roster;
     private final String name;
+    private InetSocketAddress roster;
     private Channel channel;
     private boolean reporting;
     private boolean on;
@@ -47,6 +50,14 @@
         loop.scheduleWithFixedDelay(this::send, PERIOD_MS, PERIOD_MS, TimeUnit.MILLISECONDS);
     }
 
+    /** Reports to another address from now on. */
+    public void move(InetSocketAddress to) {
+        if (!to.equals(roster)) {
+            roster = to;
+            send();
+        }
+    }
+
     /** Reports at once, and again and again, that the gateway takes work or does not. */
     public void report(boolean takesWork) {
         reporting = true;
--- /dev/null
+++ b/src/test/java/tinroad/cli/ServeTest.java
@@ -0,0 +1,98 @@
+package tinroad.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** {@code serve} as a process of its own, and the signals that reach it. */
+class ServeTest {
+    private static final int HUNG_MS = 60_000;
+
+    private static void write(Path file, ServerSocket engine, DatagramSocket roster) throws IOException {
+        Files.writeString(file, Files.readString(Path.of("deploy/example.json"))
+                .replace(":4400", ":" + engine.getLocalPort()).replace(":8761", ":" + roster.getLocalPort()));
+    }
+
+    private static ServerSocket engine() throws IOException {
+        ServerSocket engine = new ServerSocket(0, 5, InetAddress.getLoopbackAddress());
+        engine.setSoTimeout(HUNG_MS);
+        return engine;
+    }
+
+    private static DatagramSocket roster() throws IOException {
+        DatagramSocket roster = new DatagramSocket(0, InetAddress.getLoopbackAddress());
+        roster.setSoTimeout(HUNG_MS);
+        return roster;
+    }
+
+    private static void attach(Socket link, int n) throws IOException {
+        BufferedReader lines = new BufferedReader(new InputStreamReader(link.getInputStream(), StandardCharsets.US_ASCII));
+        assertEquals("{\"type\":\"ATTACH\",\"n\":" + n + "}", lines.readLine());
+        link.getOutputStream().write(("{\"type\":\"HELLO\",\"state\":\"fresh\",\"took\":1}\n"
+                + "{\"type\":\"NOTE\",\"n\":" + (n + 1) + ",\"state\":\"hm\"}\n").getBytes(StandardCharsets.US_ASCII));
+    }
+
+    private static void hears(DatagramSocket roster) throws IOException {
+        DatagramPacket report = new DatagramPacket(new byte[64], 64);
+        roster.receive(report);
+        assertEquals("HERE n3 on", new String(report.getData(), 0, report.getLength(), StandardCharsets.US_ASCII));
+    }
+
+    private static void signal(Process gateway, String name) throws IOException, InterruptedException {
+        assertEquals(0, new ProcessBuilder("kill", "-" + name, Long.toString(gateway.pid())).start().waitFor());
+    }
+
+    private static void waitFor(BufferedReader log, String part) throws IOException {
+        String line = log.readLine();
+        while (line != null && !line.contains(part)) {
+            line = log.readLine();
+        }
+        assertTrue(line != null, "the log ended without: " + part);
+    }
+
+    @Test
+    void aHangupMovesItToTheNewAddressesAndNothingElseEndsIt(@TempDir Path dir) throws Exception {
+        Path file = dir.resolve("config.json");
+        try (ServerSocket engine = engine(); ServerSocket nextEngine = engine(); DatagramSocket roster = roster();
+                DatagramSocket nextRoster = roster()) {
+            write(file, engine, roster);
+            Process gateway = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                    "-cp", System.getProperty("java.class.path"), "-Dorg.slf4j.simpleLogger.defaultLogLevel=info",
+                    Main.class.getName(), "serve", "--config", file.toString()).redirectErrorStream(true).start();
+            try (BufferedReader log = gateway.inputReader(StandardCharsets.UTF_8); Socket link = engine.accept()) {
+                attach(link, 0);
+                hears(roster);
+                Files.writeString(file, "{");
+                signal(gateway, "HUP");
+                waitFor(log, "configuration kept: ");
+                write(file, nextEngine, nextRoster);
+                signal(gateway, "HUP");
+                hears(nextRoster);
+                try (Socket nextLink = nextEngine.accept()) {
+                    attach(nextLink, 1);
+                    waitFor(log, "engine attached again");
+                    signal(gateway, "TERM");
+                    waitFor(log, "draining");
+                    signal(gateway, "HUP");
+                    waitFor(log, "drained");
+                    assertEquals(128 + 15, gateway.waitFor());
+                }
+            } finally {
+                gateway.destroyForcibly();
+            }
+        }
+    }
+}
--- a/src/test/java/tinroad/engine/EngineLinkTest.java
+++ b/src/test/java/tinroad/engine/EngineLinkTest.java
@@ -145,6 +145,39 @@
         hears("0d STALE 0.0 ");
     }
 
+    @Test
+    void atANewAddressTheLinkGoesOnWithTheLastNotice() throws Exception {
+        lines.readLine();
+        hello();
+        tell("{\"type\":\"DONE\",\"n\":1,\"job\":\"0a\",\"state\":\"done\",\"took\":3,\"data\":\"cmVz\"}\n");
+        hears("0a DONE 3.0 res");
+        try (Socket old = socket; ServerSocket next = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
+            ServerSocket before = server;
+            server = next;
+            server.setSoTimeout((int) TimeUnit.SECONDS.toMillis(HUNG_S));
+            onLoop(() -> {
+                link.move((InetSocketAddress) next.getLocalSocketAddress());
+                link.move((InetSocketAddress) next.getLocalSocketAddress());
+                return null;
+            });
+            assertEquals(Progress.NOT_SENT, run("0b"), "nothing new goes to the old address");
+            before.close();
+            accept();
+            assertEquals("{\"type\":\"ATTACH\",\"n\":1}", lines.readLine());
+            old.getOutputStream().write("{\"type\":\"DONE\",\"n\":2,\"job\":\"0c\",\"state\":\"crashed\",\"took\":4}\n"
+                    .getBytes(StandardCharsets.US_ASCII));
+            hears("0c CRASHED 4.0 ");
+            hello();
+            assertEquals(Progress.SENT, run("0d"));
+            assertTrue(lines.readLine().contains("\"0d\""));
+            assertNull(new BufferedReader(new InputStreamReader(old.getInputStream(), StandardCharsets.US_ASCII))
+                    .readLine(), "the old link ends, with nothing more written to it");
+            tell("{\"type\":\"DONE\",\"n\":2,\"job\":\"0c\",\"state\":\"crashed\",\"took\":4}\n"
+                    + "{\"type\":\"DONE\",\"n\":3,\"job\":\"0d\",\"state\":\"crashed\",\"took\":4}\n");
+            hears("0d CRASHED 4.0 ");
+        }
+    }
+
     @Test
     void whatIsNoNoticeIsSurvived() throws Exception {
         lines.readLine();
--- a/src/test/java/tinroad/roster/RosterReporterTest.java
+++ b/src/test/java/tinroad/roster/RosterReporterTest.java
@@ -39,6 +39,11 @@
             group.next().execute(() -> reporter.report(false));
             assertEquals("HERE n3 off", receive(roster));
             assertEquals("HERE n3 off", receive(roster), "the periodic one");
+            try (DatagramSocket next = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
+                next.setSoTimeout(HUNG_MS);
+                group.next().execute(() -> reporter.move((InetSocketAddress) next.getLocalSocketAddress()));
+                assertEquals("HERE n3 off", receive(next), "at a new address");
+            }
         } finally {
             group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
         }
