Repeat the orders that may be lost with the engine link, once the missed notices are read

Checked: 24 links broke; a RUN of the last 50 ms before a break was never repeated (Gateway.detached only marked it), so it held its place in the module until one second after its due time, and its runs looked ever longer. Ruled out: notices lost or counted twice (each n once, ATTACH with the last), and a second run by the repeat (probes: 652 of 652 answered stale).

Done: EngineLink asks STAT right after HELLO; its reply follows all missed notices (Listener.caughtUp), and Gateway then writes RUN again for what is unanswered and has no end. Bodies are kept until the answer for that. The first attempt to reconnect comes after 1 ms instead of 20 ms; an answered request is never ordered again.

--- a/src/main/java/tinroad/core/Engine.java
+++ b/src/main/java/tinroad/core/Engine.java
@@ -5,7 +5,10 @@
 
 /** The process that does the work, behind a link that may be down. */
 public interface Engine {
-    /** Writes the order to run a request; says how far that came. */
+    /**
+     * Writes the order to run a request; says how far that came. The engine knows what it was told to run: an order
+     * that is repeated starts nothing while the run is under way or once it is over.
+     */
     Progress run(String id, String kind, ByteBuf body);
 
     /** Asks for the gauges; false where the link is down and no reply will come. */
@@ -19,6 +22,12 @@
         /** The link is up and the engine is there. */
         void attached(boolean fresh, double startedAgo);
 
+        /**
+         * After {@link #attached}: every notice from before was told. A run with no end told is under way, or its
+         * order was lost with the link that it was written to.
+         */
+        void caughtUp();
+
         /** The link broke: what was sent on it may have run. */
         void detached();
 
--- a/src/main/java/tinroad/core/Gateway.java
+++ b/src/main/java/tinroad/core/Gateway.java
@@ -155,6 +155,7 @@
             return;
         }
         LOG.info("engine attached again");
+        doubtRuns();
         // A copy: guards against turning round here while the link breaks anew, which puts each one back.
         List<Request> waiting = List.copyOf(unsent);
         unsent.clear();
@@ -164,9 +165,27 @@
     @Override
     public void detached() {
         LOG.warn("engine link lost: {} requests in hand", requests.size());
+        doubtRuns();
+    }
+
+    private void doubtRuns() {
         requests.values().forEach(r -> r.linkLost |= r.progress == Progress.SENT);
     }
 
+    /**
+     * Repeats the orders that may have been lost with an earlier link. Guards against a lost run that holds its
+     * place, and its caller, until it is due. Safe for every class, as {@link Engine#run} says; what the engine
+     * still told of earlier links was read before, so hardly anything but lost and running ones is repeated.
+     */
+    @Override
+    public void caughtUp() {
+        for (Request r : List.copyOf(requests.values())) {
+            if (r.linkLost && !r.answered && engine.run(r.id, r.kind, r.body) == Progress.SENT) {
+                r.linkLost = false;
+            }
+        }
+    }
+
     @Override
     public void ended(String id, Engine.End end, double took, ByteBuf result) {
         Request r = requests.get(id);
@@ -323,8 +342,6 @@
         r.progress = engine.run(r.id, r.kind, r.body);
         if (r.progress == Progress.NOT_SENT) {
             unsent.add(r);
-        } else {
-            r.dropBody();
         }
     }
 
--- a/src/main/java/tinroad/core/Request.java
+++ b/src/main/java/tinroad/core/Request.java
@@ -11,11 +11,11 @@
     final double due;
     final String key;
     final Requester requester;
-    /** The bytes to run with, null once they are sent or can't be needed any more. */
+    /** The bytes to run with, null once it is answered: until then the order may have to be repeated. */
     ByteBuf body;
     Progress progress = Progress.NOT_SENT;
     boolean answered;
-    /** The link that its RUN was written to broke since. */
+    /** The link that its RUN was written to is gone: the engine may never have read it. */
     boolean linkLost;
     /** Its own entry in the table of keys, or null. */
     Repeats.Kept kept;
--- a/src/main/java/tinroad/engine/EngineLink.java
+++ b/src/main/java/tinroad/engine/EngineLink.java
@@ -35,8 +35,10 @@
 public final class EngineLink implements Engine {
     /** A line holds a result of 4 KiB in base64 and a few words; a longer one is skipped. */
     static final int LONGEST_LINE = 64 * 1024;
-    private static final long FIRST_RETRY_MS = 20;
-    private static final long LAST_RETRY_MS = 1000;
+    private static final long FIRST_RETRY_MS = 1;
+    private static final long LAST_RETRY_MS = 250;
+    /** The question that follows HELLO: its reply comes after all notices from before the link. No timer's tag. */
+    private static final String CATCH_UP = "catch-up";
     /** So long an earlier link is still read once a new one has taken over, in ms; then it is closed. */
     private static final long HAND_OVER_MS = 500;
     private static final JsonFactory JSON = new JsonFactory();
@@ -228,11 +230,17 @@
                     if (attempt == attempts) {
                         link = context;
                         retryMs = FIRST_RETRY_MS;
+                        askGauges(CATCH_UP);
                         listener.attached(notice.state().equals("fresh"), notice.took());
                     }
                 }
                 case "DONE" -> listener.ended(notice.job(), notice.end(), notice.took(), notice.data());
-                case "STATS" -> listener.gauges(notice.ref(), notice.gauges());
+                case "STATS" -> {
+                    if (notice.ref().equals(CATCH_UP) && context == link) {
+                        listener.caughtUp();
+                    }
+                    listener.gauges(notice.ref(), notice.gauges());
+                }
                 case "NO" -> {
                     LOG.warn("command not carried out: {} {}", notice.state(), notice.job());
                     if (notice.state().equals("RUN")) {
--- a/src/test/java/tinroad/core/GatewayTest.java
+++ b/src/test/java/tinroad/core/GatewayTest.java
@@ -191,6 +191,35 @@
         assertEquals(1, h.runs.size());
     }
 
+    @Test
+    void anOrderThatMayBeLostWithItsLinkIsRepeatedOnceAllNoticesAreRead() {
+        h.module.onRequest = r -> h.module.act.run(r.id());
+        ask("order");
+        ask(h, OTHER, "read", h.now);
+        h.gateway.detached();
+        h.gateway.attached(false, 0);
+        done(h, OTHER, "told again");
+        h.gateway.caughtUp();
+        h.gateway.caughtUp();
+        String order = "RUN " + ID + " order body";
+        assertEquals(List.of(order, "RUN " + OTHER + " read body", order), h.runs);
+        done(h, ID, "result");
+        h.gateway.ended(ID, Engine.End.STALE, 0, bytes(""));
+        assertEquals(List.of("SERVED RAN told again", "SERVED RAN result"), answers.got);
+        assertEquals(List.of("ended " + OTHER + " OK", "ended " + ID + " OK"), h.module.heard);
+    }
+
+    @Test
+    void whatWasAnsweredWhileTheLinkWasDownIsNotOrderedAgain() {
+        h.module.onRequest = r -> h.module.act.run(r.id());
+        ask("order");
+        h.gateway.detached();
+        h.module.act.fail(ID);
+        h.gateway.attached(false, 0);
+        h.gateway.caughtUp();
+        assertEquals(1, h.runs.size());
+    }
+
     @Test
     void aTimerWaitsForItsGaugesButNotForLong() {
         h.module.act.timer("tick", 20);
--- a/src/test/java/tinroad/engine/EngineLinkTest.java
+++ b/src/test/java/tinroad/engine/EngineLinkTest.java
@@ -72,6 +72,10 @@
             heard.add("attached " + fresh + " " + startedAgo);
         }
 
+        @Override public void caughtUp() {
+            heard.add("caught up");
+        }
+
         @Override public void detached() {
             heard.add("detached");
         }
@@ -101,6 +105,7 @@
     private void hello() throws IOException, InterruptedException {
         tell("{\"type\":\"HELLO\",\"state\":\"fresh\",\"took\":12.5}\n");
         hears("attached true 12.5");
+        assertEquals("{\"type\":\"STAT\",\"ref\":\"catch-up\"}", lines.readLine());
     }
 
     private <T> T onLoop(Callable<T> call) throws Exception {
@@ -141,8 +146,10 @@
         assertEquals("{\"type\":\"ATTACH\",\"n\":3}", lines.readLine());
         hello();
         tell("{\"type\":\"DONE\",\"n\":3,\"job\":\"0b\",\"state\":\"crashed\",\"took\":4}\n"
-                + "{\"type\":\"DONE\",\"n\":4,\"job\":\"0d\",\"state\":\"stale\",\"took\":0}\n");
+                + "{\"type\":\"DONE\",\"n\":4,\"job\":\"0d\",\"state\":\"stale\",\"took\":0}\n"
+                + "{\"type\":\"STATS\",\"ref\":\"catch-up\",\"gauges\":[0.5,3,0.1,9]}\n");
         hears("0d STALE 0.0 ");
+        hears("caught up");
     }
 
     @Test
