Give up on callers that never come to a request, and make room in a full table

Checked in FastCgiFront and FrontConnection: a silent or half request was never ended by itself; connections that asked once and stayed pinned their descriptors; at 416 open (96 kept back, 13 used) each new connection was closed unread, whoever it was from. Params took NaN-like forms that Java reads (1d, 0x1p3, signs); a Req-Time of 0 reached the module as an age of decades and moved its averages; NO burnt the id for its owner.

Done: a first or begun request has 1.5 s; a connection that loses its framing, grows too long, uses an open number or sends what belongs to nothing is given up on: whole requests keep their answers, the sending side ends first, input is thrown away slowly. A full table lets the least used connection go. Fields are checked for form and range. What was due before it was read is refused at once. Held requests of broken or closed connections, and withdrawn ones, leave the hold (Gateway.withdraw). 64 open requests on a connection; partial requests within an eighth of limits.memory_mb.

--- a/src/main/java/tinroad/cli/Server.java
+++ b/src/main/java/tinroad/cli/Server.java
@@ -41,7 +41,7 @@
         this.config = config;
         engine = new EngineLink(loop, config.engine(), config.site().gaugeNames());
         gateway = new Gateway(config.site(), config.seed(), clock, this::after, engine, OverloadController::new);
-        front = new FastCgiFront(clock, gateway, config.sockets());
+        front = new FastCgiFront(clock, gateway, config.sockets(), config.memoryMb());
         roster = new RosterReporter(loop, config.roster(), config.name());
         gateway.add(front);
         gateway.onHealth(roster::report);
--- a/src/main/java/tinroad/config/GatewayConfig.java
+++ b/src/main/java/tinroad/config/GatewayConfig.java
@@ -16,11 +16,12 @@
 
 /** What one gateway is told at its start, read and checked once. */
 public record GatewayConfig(String name, InetSocketAddress listen, InetSocketAddress engine,
-        InetSocketAddress roster, long seed, double stopMs, int sockets, Site site) {
+        InetSocketAddress roster, long seed, double stopMs, int sockets, double memoryMb, Site site) {
 
     private static final JsonFactory JSON = new JsonFactory();
     private static final double DEFAULT_STOP_MS = 3000;
     private static final int DEFAULT_SOCKETS = 1024;
+    private static final double DEFAULT_MEMORY_MB = 192;
 
     /** Reads the file that {@code GW_CONFIG} names; what is wrong with it is told in one plain line. */
     public static GatewayConfig read(Path file) throws ConfigException {
@@ -64,6 +65,7 @@
         private String seed = "";
         private double stopMs = DEFAULT_STOP_MS;
         private double sockets = DEFAULT_SOCKETS;
+        private double memoryMb = DEFAULT_MEMORY_MB;
         private Site site;
 
         Fields(JsonParser in) {
@@ -79,7 +81,7 @@
                 throw new ConfigException("config: settings are missing or name no classes");
             }
             return new GatewayConfig(name, address("listen", listen), address("engine", engine),
-                    address("roster", roster), seedValue(), stopMs, (int) sockets, site);
+                    address("roster", roster), seedValue(), stopMs, (int) sockets, memoryMb, site);
         }
 
         private void field(String field) throws IOException {
@@ -90,12 +92,20 @@
                 case "roster" -> roster = text(in);
                 case "seed" -> seed = text(in);
                 case "stop_ms" -> stopMs = number(in, DEFAULT_STOP_MS);
-                case "limits" -> each(in, n -> sockets = n.equals("sockets") ? number(in, sockets) : sockets);
+                case "limits" -> each(in, this::limit);
                 case "settings" -> site = SiteReader.read(in);
                 default -> { }
             }
         }
 
+        private void limit(String limit) throws IOException {
+            switch (limit) {
+                case "sockets" -> sockets = number(in, DEFAULT_SOCKETS);
+                case "memory_mb" -> memoryMb = number(in, DEFAULT_MEMORY_MB);
+                default -> { }
+            }
+        }
+
         private long seedValue() throws ConfigException {
             try {
                 return Long.parseUnsignedLong(seed, 16);
--- a/src/main/java/tinroad/core/Gateway.java
+++ b/src/main/java/tinroad/core/Gateway.java
@@ -32,6 +32,8 @@
     static final double GAUGES_VALID = 1000;
     /** Period of the guard that answers what is due, in ms; far below the slack of the rule. */
     static final double GUARD_PERIOD = 25;
+    /** A time of arrival further off than this, in ms, either way, is no time of arrival. */
+    static final double FAR_OFF = 60_000;
     private static final Gauges NO_GAUGES = new Gauges(Double.NaN, Double.NaN, Double.NaN, Double.NaN);
     private static final Logger LOG = LoggerFactory.getLogger("gateway");
 
@@ -118,17 +120,19 @@
         Settings settings = site.settings();
         Integer cls = classIndex.get(in.kind());
         Integer tenant = tenantIndex.isEmpty() ? Integer.valueOf(0) : tenantIndex.get(in.owner());
-        if (cls == null || tenant == null || requests.containsKey(in.id()) || ran.containsKey(in.id())) {
+        if (cls == null || tenant == null || Math.abs(now - in.arrivedAt()) > FAR_OFF
+                || requests.containsKey(in.id()) || ran.containsKey(in.id())) {
             requester.answer(Answer.invalid());
             return;
         }
-        if (!started) {
-            requester.answer(Answer.refused(0, false));
-            return;
-        }
         RequestClass c = settings.classes().get(cls);
         // Guards against a caller's clock that runs ahead: an age is never negative, a due time never later.
         double age = Math.max(0, now - in.arrivedAt());
+        // Guards the module's averages against what was due before it was read: nobody waits for it.
+        if (!started || age >= c.deadline()) {
+            requester.answer(Answer.refused(0, false));
+            return;
+        }
         Request request = new Request(in.id(), in.kind(), now - age + c.deadline(),
                 c.semantics() == Semantics.FREE ? in.key() : null, requester, in.body());
         request.repeats = repeats.find(request, now);
@@ -139,6 +143,23 @@
         request.ownBody();
     }
 
+    /**
+     * Nobody waits for this request any more, so far as its requester knows. While it is held it fails and leaves
+     * the hold; what was sent to run can't be stopped, and is answered when it ends.
+     */
+    public void withdraw(String id, Requester requester) {
+        Request r = requests.get(id);
+        // Guards the request of another caller under the same id.
+        if (r == null || r.requester != requester || r.progress != Progress.NOT_SENT) {
+            return;
+        }
+        boolean told = unsent.contains(r);
+        finish(r, Answer.failed(Progress.NOT_SENT));
+        if (!told) {
+            tell(() -> controller.gone(clock.now(), id));
+        }
+    }
+
     // --- from the engine ---
 
     @Override
@@ -193,11 +214,15 @@
         if (r == null || r.progress != Progress.SENT) {
             return;
         }
-        r.progress = Progress.RAN;
+        // What the engine did not carry out never ran.
+        r.progress = end == Engine.End.REJECTED ? Progress.NOT_SENT : Progress.RAN;
         conclude(r, end == Engine.End.DONE ? result : null);
-        finish(r, end == Engine.End.DONE ? Answer.served(result) : Answer.failed(Progress.RAN));
+        finish(r, end == Engine.End.DONE ? Answer.served(result) : Answer.failed(r.progress));
         requests.remove(id);
-        remember(r);
+        // Guards a caller's id against others that name it first, with what the engine does not know.
+        if (end != Engine.End.REJECTED) {
+            remember(r);
+        }
         tell(() -> controller.ended(clock.now(), id, took, switch (end) {
             case DONE -> Outcome.OK;
             case CRASHED -> Outcome.FAILED;
--- a/src/main/java/tinroad/engine/EngineLink.java
+++ b/src/main/java/tinroad/engine/EngineLink.java
@@ -188,6 +188,7 @@
     private final class Notices extends SimpleChannelInboundHandler<ByteBuf> {
         private final int attempt;
         private ChannelHandlerContext context;
+        private boolean skippedBefore;
 
         Notices(int attempt) {
             this.attempt = attempt;
@@ -210,7 +211,7 @@
         protected void channelRead0(ChannelHandlerContext ctx, ByteBuf line) {
             Notice notice = Notice.read(line, gaugeNames);
             if (notice == null) {
-                LOG.warn("line skipped: not a notice");
+                skipped("not a notice");
                 return;
             }
             // Guards against notices told again after a new ATTACH: each counts once.
@@ -242,7 +243,7 @@
                     listener.gauges(notice.ref(), notice.gauges());
                 }
                 case "NO" -> {
-                    LOG.warn("command not carried out: {} {}", notice.state(), notice.job());
+                    LOG.debug("command not carried out: {} {}", notice.state(), notice.job());
                     if (notice.state().equals("RUN")) {
                         listener.ended(notice.job(), End.REJECTED, 0, notice.data());
                     }
@@ -260,12 +261,20 @@
             reconnect(attempt);
         }
 
+        /** Guards the log against a link that brings nothing else: one line for each link. */
+        private void skipped(String why) {
+            if (!skippedBefore) {
+                skippedBefore = true;
+                LOG.warn("line skipped: {}", why);
+            }
+        }
+
         /** Exceptions stop here: a line too long is skipped, anything else costs the link, which comes back.
          * How a link ends that another has replaced is no news. */
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
             if (cause instanceof TooLongFrameException) {
-                LOG.warn("line skipped: too long");
+                skipped("too long");
             } else {
                 if (attempt == attempts) {
                     LOG.warn("link failed: {}", cause.toString());
--- a/src/main/java/tinroad/fastcgi/Exchange.java
+++ b/src/main/java/tinroad/fastcgi/Exchange.java
@@ -13,17 +13,21 @@
     static final int MOST_BODY = 2 * 1024;
 
     final int id;
+    final double begunAt;
     final boolean keepConnection;
     boolean paramsWhole;
     /** Handed to the gateway: from then on it alone answers. */
     boolean handed;
+    /** The id of the request in it, once it is handed over. */
+    String requestId;
     private final FrontConnection connection;
     private Part params = Part.EMPTY;
     private Part body = Part.EMPTY;
 
-    Exchange(FrontConnection connection, int id, boolean keepConnection) {
+    Exchange(FrontConnection connection, int id, double begunAt, boolean keepConnection) {
         this.connection = connection;
         this.id = id;
+        this.begunAt = begunAt;
         this.keepConnection = keepConnection;
     }
 
--- a/src/main/java/tinroad/fastcgi/FastCgiFront.java
+++ b/src/main/java/tinroad/fastcgi/FastCgiFront.java
@@ -26,10 +26,15 @@
     private static final long PASS_MS = 50;
     /** Connections that carry only health checks are no callers': the module's idle time is not theirs. */
     private static final double CHECKS_IDLE_MS = 60_000;
-    /** Descriptors kept for what is no client connection: listener, link, roster, the virtual machine's files. */
-    private static final int RESERVED = 96;
-    /** Bounds what all requests that are not read whole yet take together. */
+    /** Descriptors kept for what is no client connection: listener, links, roster, the virtual machine's files. */
+    static final int RESERVED = 48;
+    /** So long a connection may take, in ms, for its first whole request, and any later one that it has begun. */
+    static final double PATIENCE_MS = 1500;
+    /** So long a connection that was given up on is kept, in ms, for its last answers to be read. */
+    static final double LINGER_MS = 500;
+    /** Bounds what all requests that are not read whole yet take together, and that part of the memory allowed. */
     static final int MOST_PARTIAL = 16 * 1024 * 1024;
+    private static final int PARTIAL_PART = 8;
     private static final int BACKLOG = 1024;
     /** Answers that one connection may leave unread before no more is read from it: all that 32 requests get. */
     private static final WriteBufferWaterMark UNREAD_ANSWERS = new WriteBufferWaterMark(64 * 1024, 160 * 1024);
@@ -38,6 +43,7 @@
     private final Clock clock;
     private final Gateway gateway;
     private final int most;
+    private final long mostPartial;
     private final Set<FrontConnection> connections = new LinkedHashSet<>();
     private Channel listener;
     private double idleAfter;
@@ -45,11 +51,12 @@
     private boolean full;
     private int partialBytes;
 
-    /** A front of {@code gateway}; a process may hold {@code sockets} descriptors. */
-    public FastCgiFront(Clock clock, Gateway gateway, int sockets) {
+    /** A front of {@code gateway}; a process may hold {@code sockets} descriptors and {@code memoryMb} of memory. */
+    public FastCgiFront(Clock clock, Gateway gateway, int sockets, double memoryMb) {
         this.clock = clock;
         this.gateway = gateway;
         this.most = Math.max(1, sockets - RESERVED);
+        this.mostPartial = Math.min(MOST_PARTIAL, (long) (memoryMb * 1024 * 1024 / PARTIAL_PART));
     }
 
     /** Begins to listen, on the one event loop that owns the gateway. */
@@ -72,17 +79,25 @@
         return bound;
     }
 
-    /** One pass over the connections, which closes idle ones. */
+    /** One pass over the connections, which closes idle ones and those that never come to a whole request. */
     void pass() {
         double now = clock.now();
         double after = leaving ? 0 : idleAfter > 0 ? idleAfter : Double.MAX_VALUE;
-        List.copyOf(connections).forEach(c -> c.closeIdle(now, after, leaving ? 0 : CHECKS_IDLE_MS));
+        for (FrontConnection c : List.copyOf(connections)) {
+            c.giveUpOverdue(now);
+            c.closeIdle(now, after, leaving ? 0 : CHECKS_IDLE_MS);
+        }
     }
 
+    /**
+     * Guards the client proxies against connections by the hundreds that say nothing, or asked once and stay: a new
+     * one takes the place of the least useful one. Only where each has a request in hand is it turned away.
+     */
     void opened(FrontConnection connection) {
         connections.add(connection);
         if (connections.size() > most) {
-            connection.refuse();
+            connections.stream().filter(c -> c != connection && c.dispensable()).min(FrontConnection.BY_USE)
+                    .ifPresentOrElse(FrontConnection::refuse, connection::refuse);
         }
         noteFull();
     }
@@ -92,17 +107,18 @@
         noteFull();
     }
 
+    /** Guards the log against a table that hovers at its bound: it has room again once a quarter of it is free. */
     private void noteFull() {
-        if (full != connections.size() >= most) {
+        int open = connections.size();
+        if (full ? open <= most * 3 / 4 : open >= most) {
             full = !full;
-            LOG.warn(full ? "connection table full: {} open" : "connection table has room: {} open",
-                    connections.size());
+            LOG.warn(full ? "connection table full: {} open" : "connection table has room: {} open", open);
         }
     }
 
     boolean reserve(int bytes) {
         partialBytes += bytes;
-        return partialBytes <= MOST_PARTIAL;
+        return partialBytes <= mostPartial;
     }
 
     double now() {
--- a/src/main/java/tinroad/fastcgi/FrontConnection.java
+++ b/src/main/java/tinroad/fastcgi/FrontConnection.java
@@ -5,13 +5,16 @@
 import tinroad.core.Inbound;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.util.collection.IntObjectHashMap;
 import io.netty.util.collection.IntObjectMap;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -24,7 +27,13 @@
      * Bounds the open requests of one connection. Callers keep to 32, but those they gave up without a word
      * stay open here until they are answered.
      */
-    static final int MOST_OPEN = 256;
+    static final int MOST_OPEN = 64;
+    /** Bounds what may come in that belongs to no request, in bytes: guards against records without an end. */
+    static final int MOST_STRAY = 64 * 1024;
+    /** The order in which connections make room: given up on, then without a request so far, then longest unused. */
+    static final Comparator<FrontConnection> BY_USE = Comparator.comparing((FrontConnection c) -> !c.lingering)
+            .thenComparing(c -> c.carriesRequests)
+            .thenComparingDouble(c -> c.carriesRequests || c.carriesChecks ? c.lastUsed : c.openedAt);
     private static final Logger LOG = LoggerFactory.getLogger("front");
 
     private final FastCgiFront front;
@@ -37,6 +46,17 @@
     private boolean carriesRequests;
     private boolean closeWhenDone;
     private boolean candidate;
+    private double openedAt;
+    /** Records read so far, and that number and the time when the present partial record was first seen. */
+    private int records;
+    private int recordsBefore = -1;
+    private double partialSince;
+    private boolean overdue;
+    private boolean givenUp;
+    /** Its last answer was written after it was given up on; what still comes is thrown away. */
+    private boolean lingering;
+    private double lingersSince;
+    private int stray;
 
     FrontConnection(FastCgiFront front, Gateway gateway, RecordDecoder decoder) {
         this.front = front;
@@ -50,11 +70,13 @@
     public void channelActive(ChannelHandlerContext context) {
         ctx = context;
         touch();
+        openedAt = lastUsed;
         front.opened(this);
     }
 
     @Override
     protected void channelRead0(ChannelHandlerContext context, ByteBuf record) {
+        records++;
         int type = record.getUnsignedByte(1);
         int id = record.getUnsignedShort(2);
         ByteBuf content = record.slice(FastCgi.HEADER, record.getUnsignedShort(4));
@@ -67,11 +89,23 @@
             // What belongs to no open request, or comes after its end, is skipped, as the protocol asks.
             if (exchange != null && !exchange.handed) {
                 stream(type, exchange, content);
+            } else if (exchange != null && type == FastCgi.ABORT_REQUEST) {
+                gateway.withdraw(exchange.requestId, exchange);
+            } else {
+                stray(record.readableBytes());
             }
         }
     }
 
+    private void stray(int bytes) {
+        stray += bytes;
+        if (stray > MOST_STRAY) {
+            giveUp();
+        }
+    }
+
     private void management(int type, ByteBuf content) {
+        stray(content.readableBytes());
         if (type == FastCgi.GET_VALUES) {
             Map<String, String> values = new TreeMap<>();
             Params.pairs(content, (name, in, length) -> {
@@ -92,10 +126,11 @@
     private void begin(int id, ByteBuf content) {
         Exchange before = open.get(id);
         if (before != null) {
-            // An id that is still open can't be told apart from its new use: the old request ends, once.
+            // A number that is still open can't be told apart from its new use: what is in hand keeps its one answer.
             if (!before.handed) {
                 fail(before);
             }
+            giveUp();
             return;
         }
         if (content.readableBytes() < FastCgi.BEGIN_BODY || content.getUnsignedShort(0) != FastCgi.RESPONDER) {
@@ -103,7 +138,8 @@
         } else if (open.size() >= MOST_OPEN) {
             ctx.writeAndFlush(Responses.end(ctx.alloc(), id, FastCgi.OVERLOADED));
         } else if (!closeWhenDone) {
-            open.put(id, new Exchange(this, id, (content.getUnsignedByte(2) & FastCgi.KEEP_CONN) != 0));
+            open.put(id, new Exchange(this, id, front.now(),
+                    (content.getUnsignedByte(2) & FastCgi.KEEP_CONN) != 0));
         }
     }
 
@@ -124,7 +160,7 @@
                     fail(exchange);
                 }
             }
-            case FastCgi.ABORT_REQUEST -> fail(exchange);
+            case FastCgi.ABORT_REQUEST -> answer(exchange, Answer.invalid());
             default -> { }
         }
     }
@@ -139,21 +175,28 @@
         carriesRequests = true;
         Inbound inbound = params == null ? null : params.inbound(exchange.body());
         if (inbound == null) {
-            fail(exchange);
+            answer(exchange, Answer.invalid());
             return;
         }
+        exchange.requestId = inbound.id();
         gateway.request(inbound, exchange);
         exchange.handOver();
     }
 
+    /** A malformed request, or more than one may be: no client proxy sends such, so its connection is given up on. */
     private void fail(Exchange exchange) {
         answer(exchange, Answer.invalid());
+        giveUp();
     }
 
     @Override
     public void channelReadComplete(ChannelHandlerContext context) {
         touch();
         open.values().forEach(Exchange::outliveRead);
+        if (decoder.midRecord() && records != recordsBefore) {
+            recordsBefore = records;
+            partialSince = lastUsed;
+        }
     }
 
     /** Counts bytes of partial requests in, or out again; false where all connections together hold too many. */
@@ -216,14 +259,85 @@
         }
     }
 
-    /** One connection too many: closed before anything is read from it. */
+    /**
+     * Guards against callers that say nothing, or begin a request and never end it: each holds a descriptor, and is
+     * owed an end. The pass before this one already found it so: what arrived during a stall was read meanwhile.
+     */
+    void giveUpOverdue(double now) {
+        if (lingering && now - lingersSince > FastCgiFront.LINGER_MS) {
+            ctx.close();
+        } else if (givenUp || lingering) {
+            ctx.read();
+        }
+        if (givenUp || lingering) {
+            return;
+        }
+        boolean late = owes(now - FastCgiFront.PATIENCE_MS);
+        if (late && overdue) {
+            giveUp();
+        }
+        overdue = late;
+    }
+
+    /** Whether its first request, or one that it has begun, is owed since before {@code then}. */
+    private boolean owes(double then) {
+        if (!carriesRequests && !carriesChecks && openedAt < then || decoder.midRecord() && partialSince < then) {
+            return true;
+        }
+        for (Exchange exchange : open.values()) {
+            if (!exchange.handed && exchange.begunAt < then) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Whether closing it now costs no request: what is partial on a new connection has failed, and is not lost. */
+    boolean dispensable() {
+        return lingering || empty() || !carriesRequests && open.values().stream().noneMatch(e -> e.handed);
+    }
+
+    /** Makes room, or is one connection too many itself. */
     void refuse() {
         ctx.close();
     }
 
+    /**
+     * The caller is none that keeps to the protocol. What was read whole is still answered, what is partial fails, and
+     * nothing more is taken; then the connection closes.
+     */
+    private void giveUp() {
+        if (!givenUp) {
+            givenUp = true;
+            closeWhenDone = true;
+            decoder.discard();
+            ctx.channel().config().setAutoRead(false);
+            for (Exchange exchange : List.copyOf(open.values())) {
+                if (!exchange.handed) {
+                    answer(exchange, Answer.invalid());
+                }
+            }
+            closeIfDone();
+        }
+    }
+
+    /**
+     * Closes after the last answer. Guards against an answer that a reset destroys before it is read, as happens
+     * where input is left unread at the close: the sending side ends first, and what comes is read slowly for a while.
+     */
     private void closeIfDone() {
-        if (closeWhenDone && open.isEmpty()) {
-            ctx.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+        if (!closeWhenDone || !open.isEmpty() || lingering) {
+            return;
+        }
+        lingering = true;
+        lingersSince = front.now();
+        ChannelFuture written = ctx.writeAndFlush(Unpooled.EMPTY_BUFFER);
+        if (ctx.channel() instanceof DuplexChannel duplex && !duplex.isInputShutdown()) {
+            decoder.discard();
+            ctx.channel().config().setAutoRead(false);
+            written.addListener(done -> duplex.shutdownOutput());
+        } else {
+            written.addListener(ChannelFutureListener.CLOSE);
         }
     }
 
@@ -232,29 +346,47 @@
         if (event instanceof RecordDecoder.TooLong skipped) {
             Exchange exchange = open.get(skipped.id());
             if (exchange != null && !exchange.handed) {
-                fail(exchange);
+                answer(exchange, Answer.invalid());
             }
-        } else if (event == RecordDecoder.BROKEN || event instanceof ChannelInputShutdownEvent) {
-            // What was read whole is still answered; what is partial can never become whole.
-            closeWhenDone = true;
-            for (Exchange exchange : List.copyOf(open.values())) {
-                if (!exchange.handed) {
-                    open.remove(exchange.id);
-                    exchange.handOver();
-                }
+            giveUp();
+        } else if (event == RecordDecoder.BROKEN) {
+            giveUp();
+        } else if (event instanceof ChannelInputShutdownEvent) {
+            inputEnded();
+        }
+    }
+
+    /**
+     * The caller sends no more: it is gone, or was restarted. As FastCGI has it, that withdraws what it asked for:
+     * what is held fails, and what runs is still answered, should there be somebody to read it.
+     */
+    private void inputEnded() {
+        if (lingering) {
+            ctx.close();
+            return;
+        }
+        withdrawAll();
+        giveUp();
+    }
+
+    private void withdrawAll() {
+        for (Exchange exchange : List.copyOf(open.values())) {
+            if (exchange.handed) {
+                gateway.withdraw(exchange.requestId, exchange);
             }
-            closeIfDone();
         }
     }
 
     /** Guards against a caller that asks without reading: no more is read until its answers are taken. */
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext context) {
-        context.channel().config().setAutoRead(context.channel().isWritable());
+        context.channel().config().setAutoRead(context.channel().isWritable() && !givenUp && !lingering);
     }
 
+    /** Guards against work for nobody: what is held for a connection that broke leaves the hold. */
     @Override
     public void channelInactive(ChannelHandlerContext context) {
+        withdrawAll();
         open.values().forEach(Exchange::handOver);
         open.clear();
         front.closed(this);
--- a/src/main/java/tinroad/fastcgi/Params.java
+++ b/src/main/java/tinroad/fastcgi/Params.java
@@ -10,6 +10,7 @@
     private static final String HEALTH = "/healthz";
     private static final int LONG_LENGTH = 0x80;
     private static final double MOST_KB = 2000;
+    private static final int LONGEST_KEY = 128;
 
     private String method = "";
     private String script = "";
@@ -90,12 +91,13 @@
             return null;
         }
         try {
-            double arrivedAt = Long.parseLong(time);
-            int caller = Integer.parseInt(from);
-            double memoryKb = Double.parseDouble(kb);
-            double order = Double.parseDouble(rank);
-            boolean inRange = arrivedAt >= 0 && memoryKb > 0 && memoryKb < MOST_KB && order >= 0 && order < 1;
+            double arrivedAt = Long.parseLong(digits(time));
+            int caller = Integer.parseInt(digits(from));
+            double memoryKb = Double.parseDouble(decimal(kb));
+            double order = Double.parseDouble(decimal(rank));
             String subject = key == null || key.isEmpty() ? null : key;
+            boolean inRange = memoryKb > 0 && memoryKb < MOST_KB && order < 1
+                    && (subject == null || subject.length() <= LONGEST_KEY);
             return !inRange ? null : new Inbound(id, arrivedAt, script.substring(PATH.length()), owner, caller,
                     memoryKb, order, subject, body);
         } catch (NumberFormatException e) {
@@ -103,6 +105,15 @@
         }
     }
 
+    /** Guards against what Java reads as a number and the protocol does not: signs, NaN, exponents, other digits. */
+    private static String digits(String text) {
+        return text.chars().allMatch(c -> c >= '0' && c <= '9') ? text : "";
+    }
+
+    private static String decimal(String text) {
+        return text.chars().allMatch(c -> c >= '0' && c <= '9' || c == '.') ? text : "";
+    }
+
     private static boolean isId(String text) {
         return text.length() == 16
                 && text.chars().allMatch(c -> c >= '0' && c <= '9' || c >= 'a' && c <= 'f' || c >= 'A' && c <= 'F');
--- a/src/main/java/tinroad/fastcgi/RecordDecoder.java
+++ b/src/main/java/tinroad/fastcgi/RecordDecoder.java
@@ -63,6 +63,11 @@
         return broken ? 0 : buf.getUnsignedShort(offset) + (long) buf.getUnsignedByte(offset + PADDING_AT - LENGTH_AT);
     }
 
+    /** Throws away all that still comes. */
+    void discard() {
+        broken = true;
+    }
+
     /** Whether a record has begun to come in and is not whole yet. */
     boolean midRecord() {
         return actualReadableBytes() > 0;
--- a/src/test/java/tinroad/config/GatewayConfigTest.java
+++ b/src/test/java/tinroad/config/GatewayConfigTest.java
@@ -14,7 +14,7 @@
 class GatewayConfigTest {
     private static final String TEXT = """
             {"name":"n3","listen":"127.0.0.4:8080","engine":"127.1.0.1:4400","roster":"127.2.0.1:8761",
-             "seed":"8c1f30d27a5be964","stop_ms":3200,"limits":{"cores":1.0,"memory_mb":192,"sockets":900},
+             "seed":"8c1f30d27a5be964","stop_ms":3200,"limits":{"cores":1.0,"memory_mb":144,"sockets":900},
              "unheard_of":[{"a":[1]}],
              "settings":{"classes":[{"name":"read","objective":1500.0,"deadline":3700.0,"gain":2.0,"late_share":0.2,
                "semantics":"free"},{"name":"order","deadline":6000.0,"semantics":"single_shot"}],
@@ -35,6 +35,7 @@
         assertEquals(0x8c1f30d27a5be964L, config.seed());
         assertEquals(3200, config.stopMs());
         assertEquals(900, config.sockets());
+        assertEquals(144, config.memoryMb());
         assertEquals(List.of("read", "order"), config.site().classNames());
         assertEquals(List.of("acme"), config.site().tenantNames());
         assertEquals(List.of("core_use", "links"), config.site().gaugeNames());
--- a/src/test/java/tinroad/core/GatewayTest.java
+++ b/src/test/java/tinroad/core/GatewayTest.java
@@ -123,7 +123,7 @@
             ask(h, "000000000000000" + end.ordinal(), "read", h.now);
             h.gateway.ended("000000000000000" + end.ordinal(), end, 5, bytes("r"));
         }
-        assertEquals(List.of("SERVED RAN r", "FAILED RAN", "FAILED RAN", "FAILED RAN", "FAILED RAN"), answers.got);
+        assertEquals(List.of("SERVED RAN r", "FAILED RAN", "FAILED RAN", "FAILED RAN", "FAILED NOT_SENT"), answers.got);
         assertEquals(List.of("OK", "FAILED", "CANCELED", "IGNORED", "IGNORED"),
                 h.module.heard.stream().map(l -> l.split(" ")[2]).toList());
     }
@@ -220,6 +220,54 @@
         assertEquals(1, h.runs.size());
     }
 
+    @Test
+    void whatTheEngineDoesNotKnowTakesNoCallersId() {
+        h.module.onRequest = r -> h.module.act.run(r.id());
+        ask("read");
+        h.gateway.ended(ID, Engine.End.REJECTED, 0, bytes(""));
+        ask("read");
+        done(h, ID, "result");
+        assertEquals(List.of("FAILED NOT_SENT", "SERVED RAN result"), answers.got);
+    }
+
+    @Test
+    void whatIsHeldMayBeWithdrawnByItsRequesterAlone() {
+        ask("read");
+        h.gateway.withdraw(ID, a -> { });
+        h.gateway.withdraw(OTHER, answers);
+        assertEquals(List.of(), answers.got);
+        h.gateway.withdraw(ID, answers);
+        h.gateway.withdraw(ID, answers);
+        assertEquals(List.of("FAILED NOT_SENT"), answers.got);
+        ask(h, OTHER, "read", h.now);
+        h.module.act.run(OTHER);
+        h.gateway.withdraw(OTHER, answers);
+        done(h, OTHER, "ran all the same");
+        assertEquals("SERVED RAN ran all the same", answers.got.get(1));
+        assertEquals(List.of("gone " + ID, "ended " + OTHER + " OK"), h.module.heard);
+    }
+
+    @Test
+    void whatIsWithdrawnBeforeItsOrderWasSentNeverRuns() {
+        h.linkUp = false;
+        h.module.onRequest = r -> h.module.act.run(r.id());
+        ask("order");
+        h.gateway.withdraw(ID, answers);
+        h.linkUp = true;
+        h.gateway.attached(false, 0);
+        assertEquals(List.of(), h.runs);
+        assertEquals(List.of("ended " + ID + " IGNORED"), h.module.heard);
+    }
+
+    @Test
+    void whatWasDueBeforeItWasReadOrCameAtNoTimeNeverReachesTheModule() {
+        ask(h, ID, "read", h.now - 1000);
+        ask(h, ID, "read", h.now - Gateway.FAR_OFF - 1);
+        ask(h, ID, "read", h.now + Gateway.FAR_OFF + 1);
+        assertEquals(List.of("REFUSED NOT_SENT", "INVALID NOT_SENT", "INVALID NOT_SENT"), answers.got);
+        assertNull(h.module.last);
+    }
+
     @Test
     void aTimerWaitsForItsGaugesButNotForLong() {
         h.module.act.timer("tick", 20);
--- a/src/test/java/tinroad/core/Harness.java
+++ b/src/test/java/tinroad/core/Harness.java
@@ -115,7 +115,7 @@
         }
 
         @Override public void gone(double now, String id) {
-            throw new AssertionError("no one tells");
+            heard.add("gone " + id);
         }
 
         @Override public void drain(double now, double leaveAt) {
--- a/src/test/java/tinroad/fastcgi/FrontConnectionTest.java
+++ b/src/test/java/tinroad/fastcgi/FrontConnectionTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.buffer.Unpooled;
@@ -38,7 +39,7 @@
     @BeforeTry
     void start() {
         h = Harness.started();
-        front = new FastCgiFront(h, h.gateway, 1024);
+        front = new FastCgiFront(h, h.gateway, 1024, 192);
         channel = connect();
         h.gateway.add(front);
         h.module.onRequest = r -> h.module.act.run(r.id());
@@ -112,9 +113,11 @@
     @Test
     void anIdThatIsStillOpenKeepsItsOneAnswer() {
         receive(Records.whole(7, Records.fields(id(1)), ""), Records.whole(7, Records.fields(id(2)), ""));
+        assertTrue(channel.isOpen());
         done(1, "first");
         assertEquals(List.of("7: " + SERVED + "first"), answers());
         assertEquals(1, h.runs.size());
+        assertFalse(channel.isOpen(), "no client proxy uses a number twice");
     }
 
     @Test
@@ -126,17 +129,23 @@
 
     @Test
     void aBadFieldFailsItsRequestAlone() {
-        for (Map.Entry<String, String> bad : Map.of("HTTP_REQ_ID", "xyz", "HTTP_REQ_KB", "2000", "HTTP_REQ_RANK", "NaN",
-                "HTTP_REQ_TIME", "soon", "SCRIPT_NAME", "/v1/nothing", "REQUEST_METHOD", "GET").entrySet()) {
-            Map<String, String> fields = Records.fields(id(3));
-            fields.put(bad.getKey(), bad.getValue());
-            receive(Records.whole(3, fields, "body"));
-            assertEquals(List.of("3: " + INVALID), answers(), bad.getKey());
+        String[][] bad = {{"HTTP_REQ_ID", "", "xyz", "9b1f03aa5c7e2d4g"}, {"HTTP_REQ_KB", "", "0", "-1", "2000", "NaN",
+            "Infinity", "1e3", "0x1p3", " 1", "1d"}, {"HTTP_REQ_RANK", "", "NaN", "1", "-0.5", "."},
+            {"HTTP_REQ_TIME", "", "soon", "-1", "+1000000", "1", "9999999999999", "99999999999999999999"},
+            {"HTTP_REQ_FROM", "", "-1", "4.5", "99999999999"}, {"HTTP_REQ_OWNER", "", "nobody"},
+            {"HTTP_REQ_KEY", "k".repeat(129)}, {"SCRIPT_NAME", "/v1/nothing", "/v2/read"}, {"REQUEST_METHOD", "GET"}};
+        for (String[] field : bad) {
+            for (String value : Arrays.copyOfRange(field, 1, field.length)) {
+                Map<String, String> fields = Records.fields(id(3));
+                fields.put(field[0], value);
+                receive(Records.whole(3, fields, "body"));
+                assertEquals(List.of("3: " + INVALID), answers(), field[0] + "=" + value);
+            }
         }
         receive(Records.begin(4, 1, 1), Records.record(4, 4, new byte[] {5, 90, 'A'}, 0), Records.record(4, 4, NONE, 0),
-                Records.record(5, 4, NONE, 0), Records.whole(5, Records.fields(id(5)), "b".repeat(2049)));
-        assertEquals(List.of("4: " + INVALID, "5: " + INVALID), answers());
-        assertEquals(List.of(), h.runs);
+                Records.record(5, 4, NONE, 0));
+        assertEquals(List.of("4: " + INVALID), answers());
+        assertNull(h.module.last);
         assertTrue(channel.isOpen());
     }
 
@@ -154,7 +163,7 @@
                 StandardCharsets.US_ASCII), Records.whole(3, Records.fields(id(3)), ""));
         assertTrue(channel.isOpen());
         done(1, "whole");
-        assertEquals(List.of("1: " + SERVED + "whole"), answers());
+        assertEquals(List.of("2: " + INVALID, "1: " + SERVED + "whole"), answers());
         assertFalse(channel.isOpen());
         assertEquals(1, h.runs.size());
     }
@@ -234,9 +243,72 @@
     @Test
     void aRecordThatIsTooLongFailsItsRequestAlone() {
         byte[] tooLong = Records.record(5, 1, new byte[RecordDecoder.LONGEST_CONTENT + 300], 0);
-        Cuts.feed(channel, Cuts.join(Records.begin(1, 1, 1), tooLong, Records.whole(2, Records.fields(id(2)), "")), 5);
+        Cuts.feed(channel, Cuts.join(Records.whole(2, Records.fields(id(2)), ""), Records.begin(1, 1, 1), tooLong), 5);
+        assertTrue(channel.isOpen());
         done(2, "fine");
         assertEquals(List.of("1: " + INVALID, "2: " + SERVED + "fine"), answers());
+        assertFalse(channel.isOpen(), "no client proxy sends such");
+    }
+
+    @Test
+    void whatNeverEndsIsGivenUpOnThoughWholeRequestsKeepTheirAnswers() {
+        receive(Records.whole(2, Records.fields(id(2)), ""), Records.whole(3, Records.fields(id(3)), "b".repeat(2049)));
+        assertEquals(List.of("3: " + INVALID), answers());
+        done(2, "fine");
+        assertEquals(List.of("2: " + SERVED + "fine"), answers());
+        assertFalse(channel.isOpen());
+        channel = connect();
+        for (int i = 0; i <= FrontConnection.MOST_STRAY / 1000 && channel.isOpen(); i++) {
+            receive(Records.record(5, 9, new byte[1000], 0));
+        }
+        assertFalse(channel.isOpen(), "records that belong to nothing");
+    }
+
+    @Test
+    void whoSaysNothingOrHalfARequestIsGivenUpOn() {
+        Map<String, String> fields = Records.fields(id(1));
+        fields.put("SCRIPT_NAME", "/v1/order");
+        byte[] request = Records.whole(1, fields, "body");
+        EmbeddedChannel silent = channel;
+        channel = connect();
+        receive(Arrays.copyOf(request, request.length / 2));
+        EmbeddedChannel half = channel;
+        channel = connect();
+        receive(request, Records.begin(2, 1, 1));
+        idle(FastCgiFront.PATIENCE_MS);
+        assertTrue(silent.isOpen() && half.isOpen() && channel.isOpen());
+        idle(1);
+        assertFalse(silent.isOpen());
+        assertFalse(half.isOpen());
+        assertEquals(List.of("2: " + INVALID), answers());
+        done(1, "whole");
+        assertEquals(List.of("1: " + SERVED + "whole"), answers());
+        assertFalse(channel.isOpen());
+    }
+
+    @Test
+    void aConnectionThatWasQuietForLongHasItsTimeForTheNextRequest() {
+        receive(Records.whole(1, Records.fields(id(1)), "body"));
+        done(1, "r");
+        h.pass(60_000);
+        receive(Records.begin(1, 1, 1), Records.record(4, 1, NONE, 0));
+        idle(FastCgiFront.PATIENCE_MS);
+        assertTrue(channel.isOpen());
+        assertEquals(List.of("1: " + SERVED + "r"), answers());
+    }
+
+    @Test
+    void whatIsHeldForACallerThatIsGoneLeavesTheHold() {
+        h.module.onRequest = r -> { };
+        receive(Records.whole(1, Records.fields(id(1)), ""), Records.whole(2, Records.fields(id(2)), ""),
+                Records.whole(3, Records.fields(id(3)), ""));
+        h.module.act.run(id(2));
+        receive(Records.record(2, 1, NONE, 0), Records.record(2, 2, NONE, 0));
+        assertEquals(List.of("1: " + FAILED), answers());
+        channel.close();
+        assertEquals(List.of("gone " + id(1), "gone " + id(3)), h.module.heard);
+        done(2, "for nobody");
+        assertTrue(h.gateway.allAnswered());
     }
 
     @Test
@@ -250,17 +322,21 @@
 
     @Test
     void aFullTableTurnsAConnectionAwayUnread() {
-        front = new FastCgiFront(h, h.gateway, 97);
-        assertEquals(1, front.mostConnections());
+        front = new FastCgiFront(h, h.gateway, FastCgiFront.RESERVED + 2, 192);
+        assertEquals(2, front.mostConnections());
         EmbeddedChannel first = connect();
+        first.writeInbound(Unpooled.wrappedBuffer(Records.whole(1, Records.fields(id(1)), "")));
+        EmbeddedChannel silent = connect();
         channel = connect();
-        assertFalse(channel.isOpen());
-        assertTrue(first.isOpen());
-        first.close();
-        channel = connect();
-        receive(Records.whole(1, Records.fields(id(1)), ""));
-        done(1, "fine");
-        assertEquals(List.of("1: " + SERVED + "fine"), answers());
+        assertFalse(silent.isOpen(), "makes room");
+        receive(Records.whole(2, Records.fields(id(2)), ""));
+        assertFalse(connect().isOpen(), "each has a request in hand");
+        done(2, "fine");
+        assertEquals(List.of("2: " + SERVED + "fine"), answers());
+        EmbeddedChannel next = connect();
+        assertTrue(next.isOpen());
+        assertFalse(channel.isOpen(), "the longest unused makes room");
+        assertTrue(first.isOpen(), "a request is in hand");
     }
 
     @Test
@@ -278,10 +354,10 @@
         for (int i = 1; i <= FrontConnection.MOST_OPEN + 1; i++) {
             receive(Records.begin(i, 1, 1));
         }
-        assertEquals(List.of("257! 2"), answers());
+        assertEquals(List.of("65! 2"), answers());
         for (int i = 0; i < 3; i++) {
             receive(Records.record(4, 1, new byte[Exchange.MOST_PARAMS / 2], 0));
         }
-        assertEquals(List.of("1: " + INVALID), answers());
+        assertEquals("1: " + INVALID, answers().get(0));
     }
 }
