Keep 80 descriptors back: a burst of connections reached 511 of 512 with 48

Checked: 13 descriptors are no caller's; a burst accepts 16 at once and closes as many, whose descriptors go only with the next select: 432 + 13 + 2 x 16 now, seen 478. With 48 kept back that reached the limit, and accept and connect failed.

--- a/src/main/java/tinroad/fastcgi/FastCgiFront.java
+++ b/src/main/java/tinroad/fastcgi/FastCgiFront.java
@@ -27,7 +27,7 @@
     /** Connections that carry only health checks are no callers': the module's idle time is not theirs. */
     private static final double CHECKS_IDLE_MS = 60_000;
     /** Descriptors kept for what is no client connection: listener, links, roster, the virtual machine's files. */
-    static final int RESERVED = 48;
+    static final int RESERVED = 80;
     /** So long a connection may take, in ms, for its first whole request, and any later one that it has begun. */
     static final double PATIENCE_MS = 1500;
     /** So long a connection that was given up on is kept, in ms, for its last answers to be read. */
