--- a/src/main/java/tinroad/engine/EngineLink.java
+++ b/src/main/java/tinroad/engine/EngineLink.java
@@ -118,8 +118,8 @@
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
-                        // One write for all orders of a turn of the event loop: each is a call into the kernel.
-                        channel.pipeline().addLast(new FlushConsolidationHandler(MOST_UNFLUSHED, true));
+                        // One write for all orders that one read of notices brings about: each is a call into the kernel.
+                        channel.pipeline().addLast(new FlushConsolidationHandler(MOST_UNFLUSHED));
                         channel.pipeline().addLast(handlers());
                     }
                 }).connect(address).addListener((ChannelFuture done) -> {
--- a/src/main/java/tinroad/fastcgi/FastCgiFront.java
+++ b/src/main/java/tinroad/fastcgi/FastCgiFront.java
@@ -72,8 +72,8 @@
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
-                        // One write for all answers of a turn of the event loop: each is a call into the kernel.
-                        channel.pipeline().addLast(new FlushConsolidationHandler(MOST_UNFLUSHED, true));
+                        // One write for all answers that one read brings about: each is a call into the kernel.
+                        channel.pipeline().addLast(new FlushConsolidationHandler(MOST_UNFLUSHED));
                         channel.pipeline().addLast(handlers());
                     }
                 }).bind(address);
