Let each new connection of a burst take the place of another, not all of the same one

Checked with a probe of 1,500 connections on loopback: 512 descriptors in use, whether the callers are silent, send half a request or a health check. At fault: FastCgiFront.opened counted and chose from a set that a closed connection leaves only with a later task of the loop, so the 16 accepts of one turn all closed the same one, and the excess stayed for good. Ruled out: slow release of the descriptors by the selector (one turn), lingering connections (they are counted).

The new test accepts 100 connections in one turn; without the change it fails (some stay open).

--- a/src/main/java/tinroad/fastcgi/FastCgiFront.java
+++ b/src/main/java/tinroad/fastcgi/FastCgiFront.java
@@ -7,6 +7,8 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -17,6 +19,7 @@
 import java.net.InetSocketAddress;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
@@ -38,6 +41,7 @@
     static final int MOST_PARTIAL = 16 * 1024 * 1024;
     private static final int PARTIAL_PART = 8;
     private static final int BACKLOG = 1024;
+    private static final int ROOM_AFTER_FAILURE = 16;
     private static final int MOST_UNFLUSHED = 64;
     /** Answers that one connection may leave unread before no more is read from it: all that 32 requests get. */
     private static final WriteBufferWaterMark UNREAD_ANSWERS = new WriteBufferWaterMark(64 * 1024, 160 * 1024);
@@ -52,6 +56,7 @@
     private double idleAfter;
     private boolean leaving;
     private boolean full;
+    private boolean acceptFailed;
     private int partialBytes;
 
     /** A front of {@code gateway}; a process may hold {@code sockets} descriptors and {@code memoryMb} of memory. */
@@ -66,6 +71,7 @@
     public ChannelFuture listen(EventLoop loop, InetSocketAddress address) {
         ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
+                .handler(new AcceptFailures())
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, UNREAD_ANSWERS)
                 .childOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
@@ -104,11 +110,36 @@
      */
     void opened(FrontConnection connection) {
         connections.add(connection);
-        if (connections.size() > most) {
-            connections.stream().filter(c -> c != connection && c.dispensable()).min(FrontConnection.BY_USE)
-                    .ifPresentOrElse(FrontConnection::refuse, connection::refuse);
-        }
         noteFull();
+        if (connections.size() > most && !makeRoom(connection)) {
+            connection.refuse();
+        }
+    }
+
+    /** Closes the least useful connection other than this one; false where each has a request in hand. */
+    private boolean makeRoom(FrontConnection keep) {
+        Optional<FrontConnection> least =
+                connections.stream().filter(c -> c != keep && c.dispensable()).min(FrontConnection.BY_USE);
+        least.ifPresent(FrontConnection::refuse);
+        return least.isPresent();
+    }
+
+    /**
+     * Guards against descriptors used up all the same: some connections go, and accepting rests for a moment. Without
+     * this Netty rests for a second, and tells of each such second with a trace.
+     */
+    private final class AcceptFailures extends ChannelInboundHandlerAdapter {
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            if (!acceptFailed) {
+                acceptFailed = true;
+                LOG.warn("can't accept with {} open: {}", connections.size(), cause.getMessage());
+            }
+            for (int i = 0; i < ROOM_AFTER_FAILURE && makeRoom(null); i++) { }
+            context.channel().config().setAutoRead(false);
+            context.channel().eventLoop().schedule(() -> context.channel().config().setAutoRead(true), PASS_MS,
+                    TimeUnit.MILLISECONDS);
+        }
     }
 
     void closed(FrontConnection connection) {
--- a/src/main/java/tinroad/fastcgi/FrontConnection.java
+++ b/src/main/java/tinroad/fastcgi/FrontConnection.java
@@ -298,8 +298,12 @@
         return lingering || empty() || !carriesRequests && open.values().stream().noneMatch(e -> e.handed);
     }
 
-    /** Makes room, or is one connection too many itself. */
+    /**
+     * Makes room, or is one connection too many itself. Guards against a burst: Netty tells of the close only after
+     * the other connections of this turn were taken in, and until then this one would make room again and again.
+     */
     void refuse() {
+        front.closed(this);
         ctx.close();
     }
 
--- a/src/test/java/tinroad/fastcgi/FrontConnectionTest.java
+++ b/src/test/java/tinroad/fastcgi/FrontConnectionTest.java
@@ -6,13 +6,20 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.buffer.Unpooled;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.channel.nio.NioIoHandler;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -338,6 +345,42 @@
         assertTrue(first.isOpen(), "a request is in hand");
     }
 
+    @Test
+    void inABurstEachNewConnectionTakesThePlaceOfAnother() throws Exception {
+        int most = 8;
+        int burst = 100;
+        MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        List<Socket> sockets = new ArrayList<>();
+        try {
+            // The clock stands still: none is given up on for its silence.
+            FastCgiFront real = new FastCgiFront(h, h.gateway, FastCgiFront.RESERVED + most, 192);
+            InetSocketAddress address = (InetSocketAddress) real.listen(group.next(),
+                    new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)).sync().channel().localAddress();
+            CountDownLatch allWait = new CountDownLatch(1);
+            group.next().execute(() -> {
+                try {
+                    allWait.await();
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+            });
+            for (int i = 0; i < burst; i++) {
+                sockets.add(new Socket(address.getAddress(), address.getPort()));
+                sockets.get(i).setSoTimeout(60_000);
+            }
+            allWait.countDown();
+            for (Socket early : sockets.subList(0, burst - most)) {
+                assertEquals(-1, early.getInputStream().read());
+            }
+            assertEquals(most, group.next().submit(real::connections).get());
+        } finally {
+            for (Socket socket : sockets) {
+                socket.close();
+            }
+            group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+        }
+    }
+
     @Test
     void fromACallerThatDoesNotReadNothingMoreIsReadUntilItDoes() {
         channel.unsafe().outboundBuffer().setUserDefinedWritability(1, false);
