Repeat nothing to an engine that was started anew, which knows of no earlier run

Seen in review: what makes a repeated RUN safe is that the engine knows the first one. A HELLO of an engine that started since says the contrary, and Gateway.caughtUp repeated all the same. Done: the start is worked out from HELLO's MS; one more than 1 s later than the last is another engine. What it ran before fails when it is due.

--- a/src/main/java/tinroad/core/Gateway.java
+++ b/src/main/java/tinroad/core/Gateway.java
@@ -31,6 +31,8 @@
     static final double GAUGES_VALID = 1000;
     /** Period of the guard that answers what is due, in ms; far below the slack of the rule. */
     static final double GUARD_PERIOD = 25;
+    /** Two readings of the engine's start that lie this near, in ms, are of one start. */
+    static final double SAME_START = 1000;
     /** A time of arrival further off than this, in ms, either way, is no time of arrival. */
     static final double FAR_OFF = 60_000;
     private static final Gauges NO_GAUGES = new Gauges(Double.NaN, Double.NaN, Double.NaN, Double.NaN);
@@ -60,6 +62,9 @@
     private boolean started;
     private boolean healthy;
     private boolean draining;
+    private double engineStartedAt;
+    /** The engine was started since the link before: it knows of no run that it was told of earlier. */
+    private boolean anotherEngine;
     private double drainedAt;
     private double leaveAt;
     private long timerTags;
@@ -164,6 +169,9 @@
 
     @Override
     public void attached(boolean fresh, double startedAgo) {
+        double engineStart = clock.now() - startedAgo;
+        anotherEngine = started && engineStart > engineStartedAt + SAME_START;
+        engineStartedAt = engineStart;
         if (!started) {
             started = true;
             log.info("engine attached: {}, up for {} ms", fresh ? "fresh" : "seasoned", Math.round(startedAgo));
@@ -175,7 +183,7 @@
             }
             return;
         }
-        log.info("engine attached again");
+        log.info("engine attached again{}", anotherEngine ? ": another one, up for " + Math.round(startedAgo) + " ms" : "");
         doubtRuns();
         // A copy: guards against turning round here while the link breaks anew, which puts each one back.
         List<Request> waiting = List.copyOf(unsent);
@@ -196,10 +204,14 @@
     /**
      * Repeats the orders that may have been lost with an earlier link. Guards against a lost run that holds its
      * place, and its caller, until it is due. Safe for every class, as {@link Engine#run} says; what the engine
-     * still told of earlier links was read before, so hardly anything but lost and running ones is repeated.
+     * still told of earlier links was read before, so hardly anything but lost and running ones is repeated. Guards
+     * against an engine that was started anew, which knows of no earlier run: to it nothing is repeated.
      */
     @Override
     public void caughtUp() {
+        if (anotherEngine) {
+            return;
+        }
         for (Request r : List.copyOf(requests.values())) {
             if (r.linkLost && !r.answered && engine.run(r.id, r.kind, r.body) == Progress.SENT) {
                 r.linkLost = false;
--- a/src/test/java/tinroad/core/GatewayTest.java
+++ b/src/test/java/tinroad/core/GatewayTest.java
@@ -209,6 +209,20 @@
         assertEquals(List.of("ended " + OTHER + " OK", "ended " + ID + " OK"), h.module.heard);
     }
 
+    @Test
+    void toAnEngineThatWasStartedAnewNothingIsRepeated() {
+        h.module.onRequest = r -> h.module.act.run(r.id());
+        h.pass(5000);
+        ask("order");
+        h.gateway.detached();
+        h.gateway.attached(true, 10);
+        h.gateway.caughtUp();
+        assertEquals(1, h.runs.size());
+        h.pass(2000 + Gateway.LOST_RUN_KEPT + 2 * Gateway.GUARD_PERIOD);
+        assertEquals(List.of("FAILED SENT"), answers.got);
+        assertEquals(List.of("ended " + ID + " IGNORED"), h.module.heard);
+    }
+
     @Test
     void whatWasAnsweredWhileTheLinkWasDownIsNotOrderedAgain() {
         h.module.onRequest = r -> h.module.act.run(r.id());
