Open a door for operators: readiness, figures, drain and back to work over HTTP

Checked: the configuration's 'control' was read by nobody, GatewayConfig.Fields.field skipped it; no process listened there (logs: one 'listening' line). Ruled out: a late or lost health report; none was ever due.

Now tinroad.control answers the four calls. Figures are counted where answers leave (Gateway.finish, turnAway). Evacuation is a mark beside the module's health, so work goes on and rejoining has nothing to take back. The rehearsal plays calls too, so that the first real one does not wait for the compiler.

--- a/src/main/java/tinroad/cli/Rehearsal.java
+++ b/src/main/java/tinroad/cli/Rehearsal.java
@@ -13,6 +13,7 @@
 import org.slf4j.helpers.NOPLogger;
 import tinroad.OverloadController;
 import tinroad.config.Site;
+import tinroad.control.ControlServer;
 import tinroad.core.Gateway;
 import tinroad.engine.EngineLink;
 import tinroad.fastcgi.FastCgiFront;
@@ -30,6 +31,8 @@
     /** So many steps of every hundred the engine ends nothing: a line forms in the hold. */
     private static final int REST = 8;
     private static final int CONNECTIONS = 8;
+    private static final int CALL_EVERY = 10;
+    private static final String CALL = "GET /api/telemetry HTTP/1.1\r\nHost: x\r\n\r\n";
     private static final String DONE = "{\"type\":\"DONE\",\"n\":%d,\"job\":\"%s\",\"state\":\"done\",\"took\":9.5,\"data\":\"%s\"}\n";
     private static final String STATS = "{\"type\":\"STATS\",\"ref\":\"%s\",\"gauges\":[0.9,3,0.4,9]}\n";
     private static final String DATA = "cmVzdWx0".repeat(60);
@@ -39,6 +42,7 @@
     private final ArrayDeque<String> running = new ArrayDeque<>();
     private final List<EmbeddedChannel> callers = new ArrayList<>();
     private final FastCgiFront front;
+    private final ControlServer control;
     private final EmbeddedChannel engine;
     private double now;
     private int asked;
@@ -52,6 +56,7 @@
                 OverloadController::new, NOPLogger.NOP_LOGGER);
         front = new FastCgiFront(() -> now, gateway, Integer.MAX_VALUE, Double.MAX_VALUE);
         gateway.add(front);
+        control = new ControlServer(gateway);
         link.listen(gateway);
         engine = new EmbeddedChannel(link.handlers());
         for (int i = 0; i < CONNECTIONS; i++) {
@@ -77,10 +82,20 @@
             listen();
             front.pass();
             callers.forEach(this::takeAnswers);
+            if (step % CALL_EVERY == 0) {
+                call();
+            }
         }
         return answered;
     }
 
+    /** An operator's call: the first real one is owed its answer within a second too. */
+    private void call() {
+        EmbeddedChannel operator = new EmbeddedChannel(control.handlers());
+        operator.writeInbound(Unpooled.copiedBuffer(CALL, StandardCharsets.US_ASCII));
+        operator.finishAndReleaseAll();
+    }
+
     private void tell(String line) {
         engine.writeInbound(Unpooled.copiedBuffer(line, StandardCharsets.US_ASCII));
     }
--- a/src/main/java/tinroad/cli/Server.java
+++ b/src/main/java/tinroad/cli/Server.java
@@ -2,6 +2,7 @@
 
 import tinroad.OverloadController;
 import tinroad.config.GatewayConfig;
+import tinroad.control.ControlServer;
 import tinroad.core.Clock;
 import tinroad.core.Gateway;
 import tinroad.engine.EngineLink;
@@ -59,10 +60,10 @@
 
     /** Listens, and begins to connect to the engine; returns the address that it listens on. */
     InetSocketAddress start() throws IOException, InterruptedException {
-        ChannelFuture bound = front.listen(loop, config.listen()).await();
-        if (!bound.isSuccess()) {
-            throw new IOException("can't listen on " + config.listen() + ": " + bound.cause().getMessage());
+        if (config.control() != null) {
+            listening(new ControlServer(gateway).listen(loop, config.control()), config.control());
         }
+        ChannelFuture bound = listening(front.listen(loop, config.listen()), config.listen());
         LOG.info("listening on {} as {}", bound.channel().localAddress(), config.name());
         loop.execute(() -> {
             roster.start();
@@ -71,6 +72,14 @@
         return (InetSocketAddress) bound.channel().localAddress();
     }
 
+    private static ChannelFuture listening(ChannelFuture bound, InetSocketAddress address)
+            throws IOException, InterruptedException {
+        if (!bound.await().isSuccess()) {
+            throw new IOException("can't listen on " + address + ": " + bound.cause().getMessage());
+        }
+        return bound;
+    }
+
     /** Goes on with the addresses of engine and roster in {@code next}; all else in it counts at the next start. */
     void reload(GatewayConfig next) {
         loop.execute(() -> {
--- a/src/main/java/tinroad/config/GatewayConfig.java
+++ b/src/main/java/tinroad/config/GatewayConfig.java
@@ -14,8 +14,12 @@
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 
-/** What one gateway is told at its start, read and checked once. */
-public record GatewayConfig(String name, InetSocketAddress listen, InetSocketAddress engine,
+/**
+ * What one gateway is told at its start, read and checked once.
+ *
+ * @param control where operators call, or null where they have no door
+ */
+public record GatewayConfig(String name, InetSocketAddress listen, InetSocketAddress control, InetSocketAddress engine,
         InetSocketAddress roster, long seed, double stopMs, int sockets, double memoryMb, Site site) {
 
     private static final JsonFactory JSON = new JsonFactory();
@@ -60,6 +64,7 @@
         private final JsonParser in;
         private String name = "";
         private String listen = "";
+        private String control = "";
         private String engine = "";
         private String roster = "";
         private String seed = "";
@@ -80,14 +85,15 @@
             if (site == null || site.classNames().isEmpty()) {
                 throw new ConfigException("config: settings are missing or name no classes");
             }
-            return new GatewayConfig(name, address("listen", listen), address("engine", engine),
-                    address("roster", roster), seedValue(), stopMs, (int) sockets, memoryMb, site);
+            return new GatewayConfig(name, address("listen", listen), control.isEmpty() ? null : address("control", control),
+                    address("engine", engine), address("roster", roster), seedValue(), stopMs, (int) sockets, memoryMb, site);
         }
 
         private void field(String field) throws IOException {
             switch (field) {
                 case "name" -> name = text(in);
                 case "listen" -> listen = text(in);
+                case "control" -> control = text(in);
                 case "engine" -> engine = text(in);
                 case "roster" -> roster = text(in);
                 case "seed" -> seed = text(in);
--- /dev/null
+++ b/src/main/java/tinroad/control/ControlCall.java
@@ -0,0 +1,147 @@
+package tinroad.control;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufOutputStream;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import io.netty.util.concurrent.Future;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
+import java.util.function.IntToLongFunction;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import tinroad.core.Figures;
+import tinroad.core.Gateway;
+
+/** One connection of an operator: one call, its answer, and the end. */
+final class ControlCall extends SimpleChannelInboundHandler<FullHttpRequest> {
+    /** A caller that has not finished its call by then is given up on. */
+    private static final long PATIENCE_MS = 5000;
+    private static final JsonFactory JSON = new JsonFactory();
+    private static final Logger LOG = LoggerFactory.getLogger("control");
+
+    private final Gateway gateway;
+    private Future<?> patience;
+    private boolean called;
+
+    ControlCall(Gateway gateway) {
+        this.gateway = gateway;
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext ctx) {
+        patience = ctx.executor().schedule(() -> ctx.close(), PATIENCE_MS, TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+        patience.cancel(false);
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest call) {
+        // Guards against a second call in the same breath: the first one's answer ends the connection.
+        if (!called) {
+            called = true;
+            answer(ctx, answerTo(call));
+        }
+    }
+
+    private FullHttpResponse answerTo(FullHttpRequest call) {
+        if (call.decoderResult().isFailure()) {
+            return text(HttpResponseStatus.BAD_REQUEST, "not a call");
+        }
+        String path = new QueryStringDecoder(call.uri()).path();
+        HttpMethod method = switch (path) {
+            case "/api/ready", "/api/telemetry" -> HttpMethod.GET;
+            case "/api/evacuate", "/api/rejoin" -> HttpMethod.POST;
+            default -> null;
+        };
+        if (method == null) {
+            return text(HttpResponseStatus.NOT_FOUND, "no such call");
+        }
+        if (!method.equals(call.method())) {
+            FullHttpResponse wrong = text(HttpResponseStatus.METHOD_NOT_ALLOWED, "use " + method);
+            wrong.headers().set(HttpHeaderNames.ALLOW, method.name());
+            return wrong;
+        }
+        return switch (path) {
+            case "/api/ready" -> gateway.ready() ? text(HttpResponseStatus.OK, "ready")
+                    : text(HttpResponseStatus.SERVICE_UNAVAILABLE, "not ready");
+            case "/api/telemetry" -> figures();
+            case "/api/evacuate" -> {
+                gateway.evacuate();
+                yield text(HttpResponseStatus.OK, "draining");
+            }
+            default -> gateway.rejoin() ? text(HttpResponseStatus.OK, "back to work")
+                    : text(HttpResponseStatus.CONFLICT, "this process is about to end");
+        };
+    }
+
+    private FullHttpResponse figures() {
+        Figures figures = gateway.figures();
+        ByteBuf body = Unpooled.buffer();
+        try (JsonGenerator json = JSON.createGenerator((OutputStream) new ByteBufOutputStream(body))) {
+            json.writeStartObject();
+            byClass(json, "success", figures, figures::served);
+            byClass(json, "busy", figures, figures::refused);
+            byClass(json, "failure", figures, figures::failed);
+            json.writeNumberField("backend_calls", figures.runs());
+            json.writeNumberField("inflight", gateway.inHand());
+            json.writeEndObject();
+        } catch (IOException e) {
+            // Can't happen: the buffer is memory, and grows as needed.
+            throw new UncheckedIOException(e);
+        }
+        return response(HttpResponseStatus.OK, "application/json", body);
+    }
+
+    private static void byClass(JsonGenerator json, String name, Figures figures, IntToLongFunction count)
+            throws IOException {
+        json.writeObjectFieldStart(name);
+        for (int i = 0; i < figures.classNames().size(); i++) {
+            json.writeNumberField(figures.classNames().get(i), count.applyAsLong(i));
+        }
+        json.writeEndObject();
+    }
+
+    private static FullHttpResponse text(HttpResponseStatus status, String text) {
+        return response(status, "text/plain", Unpooled.copiedBuffer(text + '\n', StandardCharsets.US_ASCII));
+    }
+
+    private static FullHttpResponse response(HttpResponseStatus status, String type, ByteBuf body) {
+        FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body);
+        response.headers().set(HttpHeaderNames.CONTENT_TYPE, type)
+                .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        HttpUtil.setContentLength(response, body.readableBytes());
+        return response;
+    }
+
+    private static void answer(ChannelHandlerContext ctx, FullHttpResponse response) {
+        ctx.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+    }
+
+    /** Exceptions stop here: they cost this connection and nothing else. */
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        LOG.debug("call failed", cause);
+        ctx.close();
+    }
+}
--- a/src/main/java/tinroad/core/Gateway.java
+++ b/src/main/java/tinroad/core/Gateway.java
@@ -58,10 +58,15 @@
     private final ArrayDeque<Runnable> followUps = new ArrayDeque<>();
     private final List<Front> fronts = new ArrayList<>();
     private HealthListener healthListener = good -> { };
+    private final Figures figures;
     private boolean handling;
     private boolean started;
     private boolean healthy;
+    /** What the module says of its health, whatever else there is. */
+    private boolean moduleGood;
     private boolean draining;
+    /** Operators had the gateway taken off the list: checks hear bad, and work goes on as always. */
+    private boolean evacuated;
     private double engineStartedAt;
     /** The engine was started since the link before: it knows of no run that it was told of earlier. */
     private boolean anotherEngine;
@@ -89,6 +94,7 @@
         this.engine = engine;
         this.controller = module.apply(new Acts());
         this.repeats = new Repeats(site.settings().freshFor());
+        this.figures = new Figures(site.classNames());
         for (String name : site.classNames()) {
             classIndex.put(name, classIndex.size());
         }
@@ -114,7 +120,49 @@
 
     /** Whether every request that was read has its answer. */
     public boolean allAnswered() {
-        return requests.values().stream().allMatch(r -> r.answered);
+        return inHand() == 0;
+    }
+
+    /** How many requests were read and have no answer yet. */
+    public int inHand() {
+        return (int) requests.values().stream().filter(r -> !r.answered).count();
+    }
+
+    /** What it has done so far. */
+    public Figures figures() {
+        return figures;
+    }
+
+    // --- from the operators ---
+
+    /** Whether this process serves, and goes on serving. */
+    public boolean ready() {
+        return healthy && !draining;
+    }
+
+    /**
+     * Has the gateway taken off the list, until {@link #rejoin}: health is bad. What still arrives is served as ever,
+     * so the module, for which a drain has an end, hears nothing of it.
+     */
+    public void evacuate() {
+        if (!evacuated) {
+            evacuated = true;
+            log.info("evacuated: off the list until it rejoins");
+            tellHealth();
+        }
+    }
+
+    /** Back on the list; false where the process is about to end. */
+    public boolean rejoin() {
+        if (draining) {
+            return false;
+        }
+        if (evacuated) {
+            evacuated = false;
+            log.info("rejoined");
+            tellHealth();
+        }
+        return true;
     }
 
     // --- from the front ---
@@ -125,20 +173,24 @@
         Settings settings = site.settings();
         Integer cls = classIndex.get(in.kind());
         Integer tenant = tenantIndex.isEmpty() ? Integer.valueOf(0) : tenantIndex.get(in.owner());
-        if (cls == null || tenant == null || Math.abs(now - in.arrivedAt()) > FAR_OFF
-                || requests.containsKey(in.id()) || ran.containsKey(in.id())) {
+        if (cls == null) {
             requester.answer(Answer.invalid());
             return;
         }
+        if (tenant == null || Math.abs(now - in.arrivedAt()) > FAR_OFF
+                || requests.containsKey(in.id()) || ran.containsKey(in.id())) {
+            turnAway(cls, requester, Answer.invalid());
+            return;
+        }
         RequestClass c = settings.classes().get(cls);
         // Guards against a caller's clock that runs ahead: an age is never negative, a due time never later.
         double age = Math.max(0, now - in.arrivedAt());
         // Guards the module's averages against what was due before it was read: nobody waits for it.
         if (!started || age >= c.deadline()) {
-            requester.answer(Answer.refused(0, false));
+            turnAway(cls, requester, Answer.refused(0, false));
             return;
         }
-        Request request = new Request(in.id(), in.kind(), now - age + c.deadline(),
+        Request request = new Request(in.id(), cls, in.kind(), now - age + c.deadline(),
                 c.semantics() == Semantics.FREE ? in.key() : null, requester, in.body());
         request.repeats = repeats.find(request, now);
         requests.put(request.id, request);
@@ -148,6 +200,12 @@
         request.ownBody();
     }
 
+    /** The answer to a request that never enters the table. */
+    private void turnAway(int cls, Requester requester, Answer answer) {
+        figures.answered(cls, answer.kind());
+        requester.answer(answer);
+    }
+
     /**
      * Nobody waits for this request any more, so far as its requester knows. While it is held it fails and leaves
      * the hold; what was sent to run can't be stopped, and is answered when it ends.
@@ -267,7 +325,7 @@
         if (started) {
             tell(() -> controller.drain(drainedAt, leaveAt));
         }
-        health(false);
+        tellHealth();
     }
 
     // --- answers ---
@@ -290,7 +348,9 @@
             }
         }
         boolean mayHaveRun = answer.kind() == Answer.Kind.REFUSED && r.progress != Progress.NOT_SENT;
-        r.requester.answer(mayHaveRun ? Answer.failed(r.progress) : answer);
+        Answer honest = mayHaveRun ? Answer.failed(r.progress) : answer;
+        figures.answered(r.cls, honest.kind());
+        r.requester.answer(honest);
     }
 
     /** A request came to its end: what repeats it is answered alike. */
@@ -379,11 +439,13 @@
         r.progress = engine.run(r.id, r.kind, r.body);
         if (r.progress == Progress.NOT_SENT) {
             unsent.add(r);
+        } else {
+            figures.handedOver();
         }
     }
 
-    private void health(boolean good) {
-        boolean next = good && !draining;
+    private void tellHealth() {
+        boolean next = moduleGood && !draining && !evacuated;
         if (next != healthy) {
             healthy = next;
             log.info("health {}", next ? "good" : "bad");
@@ -444,7 +506,8 @@
         }
 
         @Override public void health(boolean good, boolean stored) {
-            Gateway.this.health(good);
+            moduleGood = good;
+            tellHealth();
         }
 
         @Override public void idle(double after) {
--- a/src/main/java/tinroad/core/Request.java
+++ b/src/main/java/tinroad/core/Request.java
@@ -7,6 +7,7 @@
 /** One request in hand: from its reading until it is answered and no run of it can end any more. */
 final class Request {
     final String id;
+    final int cls;
     final String kind;
     final double due;
     final String key;
@@ -23,8 +24,9 @@
     Repeats.Kept repeats;
     double reusedAt;
 
-    Request(String id, String kind, double due, String key, Requester requester, ByteBuf body) {
+    Request(String id, int cls, String kind, double due, String key, Requester requester, ByteBuf body) {
         this.id = id;
+        this.cls = cls;
         this.kind = kind;
         this.due = due;
         this.key = key;
--- a/src/test/java/tinroad/cli/ServerTest.java
+++ b/src/test/java/tinroad/cli/ServerTest.java
@@ -38,7 +38,7 @@
                 List.of(), new Controller.Goal(1, 0, 0, 0), new Controller.Rules(100, 1, 0, 2500, 8, 1500),
                 new Controller.Dependency(Controller.Below.NONE, 0, 0, 0), Controller.Say.NONE, Controller.Halt.NONE,
                 2, 1, 1, false, false, 15000, 9000, 4, 70, 0, 1000, true, false, 0.1, 5, false);
-        return new GatewayConfig("n3", any(), (InetSocketAddress) engine.getLocalSocketAddress(),
+        return new GatewayConfig("n3", any(), any(), (InetSocketAddress) engine.getLocalSocketAddress(),
                 (InetSocketAddress) roster.getLocalSocketAddress(), 1, 600, 1024, 192,
                 new Site(settings, List.of("read"), List.of(), List.of("core_use")));
     }
@@ -93,7 +93,7 @@
                 DatagramSocket roster = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
             GatewayConfig free = config(engine, roster);
             GatewayConfig taken = new GatewayConfig(free.name(), (InetSocketAddress) engine.getLocalSocketAddress(),
-                    free.engine(), free.roster(), 1, 600, 1024, 192, free.site());
+                    null, free.engine(), free.roster(), 1, 600, 1024, 192, free.site());
             try (Server server = new Server(taken)) {
                 String message = assertThrows(IOException.class, server::start).getMessage();
                 assertTrue(message.startsWith("can't listen on "), message);
--- a/src/test/java/tinroad/config/GatewayConfigTest.java
+++ b/src/test/java/tinroad/config/GatewayConfigTest.java
@@ -13,7 +13,7 @@
 /** The configuration, and the settings in it: every value lands where it belongs, the rest is skipped. */
 class GatewayConfigTest {
     private static final String TEXT = """
-            {"name":"n3","listen":"127.0.0.4:8080","engine":"127.1.0.1:4400","roster":"127.2.0.1:8761",
+            {"name":"n3","listen":"127.0.0.4:8080","control":"127.3.0.4:10250","engine":"127.1.0.1:4400","roster":"127.2.0.1:8761",
              "seed":"8c1f30d27a5be964","stop_ms":3200,"limits":{"cores":1.0,"memory_mb":144,"sockets":900},
              "unheard_of":[{"a":[1]}],
              "settings":{"classes":[{"name":"read","objective":1500.0,"deadline":3700.0,"gain":2.0,"late_share":0.2,
@@ -30,8 +30,8 @@
     @Test
     void everyValueIsRead(@TempDir Path dir) throws IOException, ConfigException {
         GatewayConfig config = GatewayConfig.read(Files.writeString(dir.resolve("c.json"), TEXT));
-        assertEquals("n3 /127.0.0.4:8080 /127.1.0.1:4400 /127.2.0.1:8761", config.name() + " " + config.listen() + " "
-                + config.engine() + " " + config.roster());
+        assertEquals("n3 /127.0.0.4:8080 /127.3.0.4:10250 /127.1.0.1:4400 /127.2.0.1:8761", config.name() + " " + config.listen() + " "
+                + config.control() + " " + config.engine() + " " + config.roster());
         assertEquals(0x8c1f30d27a5be964L, config.seed());
         assertEquals(3200, config.stopMs());
         assertEquals(900, config.sockets());
--- a/src/test/java/tinroad/core/GatewayTest.java
+++ b/src/test/java/tinroad/core/GatewayTest.java
@@ -78,6 +78,22 @@
         assertEquals(List.of("FAILED SENT"), answers.got);
     }
 
+    @Test
+    void anEvacuatedGatewayServesOnAndHearsNothingOfItsModulesOpinionUntilItRejoins() {
+        List<Boolean> told = new ArrayList<>();
+        h.gateway.onHealth(told::add);
+        h.gateway.evacuate();
+        h.module.act.health(false, true);
+        h.module.act.health(true, true);
+        h.module.onRequest = r -> h.module.act.run(r.id());
+        ask("order");
+        done(h, ID, "result");
+        assertEquals(List.of("SERVED RAN result"), answers.got);
+        assertEquals(List.of("ended " + ID + " OK"), h.module.heard);
+        assertTrue(h.gateway.rejoin());
+        assertEquals(List.of(false, true), told);
+    }
+
     @Test
     void whatRanIsNeverRunAgain() {
         h.module.onRequest = r -> h.module.act.run(r.id());
