Let a new process take over under load: both listen, the replaced one leaves quietly

Cause: ready() said yes once the engine was there. Now it says so only after callers reach the process and the file in TMPDIR names it (Gateway.opened). Ruled out: memory (102 of 208 MB for both), descriptors (32 of 512), requests at closing connections (0 written).

A test showed that a stranger on the address made the start wait for the engine for good: the probe now asks a second time with SO_REUSEPORT, and a stranger is told plainly, as before. Both process tests are now bounded against hanging.

--- a/src/main/java/tinroad/cli/Check.java
+++ b/src/main/java/tinroad/cli/Check.java
@@ -13,7 +13,7 @@
     @Override
     void run(GatewayConfig config, PrintStream out) throws IOException, InterruptedException {
         if (start) {
-            try (Server server = new Server(config)) {
+            try (Server server = new Server(config, null)) {
                 server.start();
                 server.leave();
             }
--- a/src/main/java/tinroad/cli/Serve.java
+++ b/src/main/java/tinroad/cli/Serve.java
@@ -14,7 +14,7 @@
 
     @Override
     void run(GatewayConfig config, PrintStream out) throws IOException, InterruptedException {
-        try (Server server = new Server(config)) {
+        try (Server server = new Server(config, System.getenv("TMPDIR"))) {
             // Before anything can reach this process: a virtual machine that nobody handles the signal for ends on it.
             if (Signals.register("HUP", () -> reload(server)) == null) {
                 LOG.warn("SIGHUP can't be handled here: it would end this process");
--- a/src/main/java/tinroad/cli/Server.java
+++ b/src/main/java/tinroad/cli/Server.java
@@ -36,17 +36,28 @@
     private final Gateway gateway;
     private final FastCgiFront front;
     private final RosterReporter roster;
+    private final Succession succession;
+    private final CountDownLatch serving = new CountDownLatch(1);
     private final CountDownLatch ended = new CountDownLatch(1);
 
-    Server(GatewayConfig config) {
+    /** A gateway that shares {@code directory}, or null, with other processes under the same name. */
+    Server(GatewayConfig config, String directory) {
         this.config = config;
+        succession = new Succession(directory, config.name());
         engine = new EngineLink(loop, config.engine(), config.site().gaugeNames());
         gateway = new Gateway(config.site(), config.seed(), clock, this::after, engine, OverloadController::new,
                 LoggerFactory.getLogger("gateway"));
         front = new FastCgiFront(clock, gateway, config.sockets(), config.memoryMb());
         roster = new RosterReporter(loop, config.roster(), config.name());
         gateway.add(front);
-        gateway.onHealth(roster::report);
+        gateway.onHealth(this::health);
+    }
+
+    private void health(boolean good) {
+        roster.report(good);
+        if (good) {
+            serving.countDown();
+        }
     }
 
     private void after(double ms, Runnable task) {
@@ -63,13 +74,28 @@
         if (config.control() != null) {
             listening(new ControlServer(gateway).listen(loop, config.control()), config.control());
         }
+        // Guards the requests that come while a new version starts: until it takes work, all go to the old one.
+        boolean beside = FastCgiFront.taken(config.listen(), false) && !FastCgiFront.taken(config.listen(), true);
+        if (beside) {
+            LOG.info("another process listens on {}: beside it once the engine is there", config.listen());
+            connect();
+            serving.await();
+        }
         ChannelFuture bound = listening(front.listen(loop, config.listen()), config.listen());
+        succession.take();
+        loop.execute(gateway::opened);
         LOG.info("listening on {} as {}", bound.channel().localAddress(), config.name());
+        if (!beside) {
+            connect();
+        }
+        return (InetSocketAddress) bound.channel().localAddress();
+    }
+
+    private void connect() {
         loop.execute(() -> {
             roster.start();
             engine.start(gateway);
         });
-        return (InetSocketAddress) bound.channel().localAddress();
     }
 
     private static ChannelFuture listening(ChannelFuture bound, InetSocketAddress address)
@@ -89,10 +115,23 @@
         });
     }
 
-    /** Leaves: answers all that was read, then ends. Blocks its caller, the thread that the notice comes on. */
+    /**
+     * Leaves: answers all that was read, then ends. Blocks its caller, the thread that the notice comes on. A process
+     * that was replaced leaves at once, and quietly: the gateway itself stays.
+     */
     void leave() {
         double noticedAt = clock.now();
-        loop.execute(() -> drain(noticedAt));
+        boolean replaced = succession.passedOn();
+        loop.execute(() -> {
+            if (replaced) {
+                LOG.info("replaced by another process");
+                gateway.replaced();
+                roster.silence();
+                front.leave();
+                endOnceEmpty();
+            }
+            drain(noticedAt);
+        });
         try {
             ended.await((long) config.stopMs(), TimeUnit.MILLISECONDS);
         } catch (InterruptedException e) {
--- a/src/main/java/tinroad/core/Gateway.java
+++ b/src/main/java/tinroad/core/Gateway.java
@@ -61,12 +61,15 @@
     private final Figures figures;
     private boolean handling;
     private boolean started;
+    private boolean open;
     private boolean healthy;
     /** What the module says of its health, whatever else there is. */
     private boolean moduleGood;
     private boolean draining;
     /** Operators had the gateway taken off the list: checks hear bad, and work goes on as always. */
     private boolean evacuated;
+    /** Another process serves under this gateway's name: what it says of its health holds. */
+    private boolean replaced;
     private double engineStartedAt;
     /** The engine was started since the link before: it knows of no run that it was told of earlier. */
     private boolean anotherEngine;
@@ -135,9 +138,22 @@
 
     // --- from the operators ---
 
-    /** Whether this process serves, and goes on serving. */
+    /** Another process has taken over: this one leaves, and the gateway's health is no longer this one's to tell. */
+    public void replaced() {
+        replaced = true;
+    }
+
+    /** Callers reach this process from now on. */
+    public void opened() {
+        open = true;
+    }
+
+    /**
+     * Whether this process serves, and goes on serving. Guards against a yes before callers can reach it: whoever
+     * hears it may end the process that served until then.
+     */
     public boolean ready() {
-        return healthy && !draining;
+        return open && healthy && !draining;
     }
 
     /**
@@ -446,7 +462,7 @@
 
     private void tellHealth() {
         boolean next = moduleGood && !draining && !evacuated;
-        if (next != healthy) {
+        if (next != healthy && !replaced) {
             healthy = next;
             log.info("health {}", next ? "good" : "bad");
             healthListener.health(next);
@@ -466,7 +482,8 @@
         }
 
         @Override public void refuse(String id, double stayAway, boolean last) {
-            answer(id, Answer.refused(stayAway, last));
+            // Guards the process that took over: advice to stay away would be heeded towards both.
+            answer(id, Answer.refused(replaced ? 0 : stayAway, last));
         }
 
         @Override public void fail(String id) {
--- a/src/main/java/tinroad/fastcgi/FastCgiFront.java
+++ b/src/main/java/tinroad/fastcgi/FastCgiFront.java
@@ -14,9 +14,14 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.flush.FlushConsolidationHandler;
+import java.io.IOException;
+import java.net.BindException;
 import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.net.StandardSocketOptions;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
@@ -71,6 +76,8 @@
     public ChannelFuture listen(EventLoop loop, InetSocketAddress address) {
         ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
+                // Another process of this gateway may listen beside this one, while a new version takes over.
+                .option(NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT), true)
                 .handler(new AcceptFailures())
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, UNREAD_ANSWERS)
@@ -88,6 +95,21 @@
         return bound;
     }
 
+    /**
+     * Whether somebody listens there already; with {@code sharing}, only somebody who lets no other process listen
+     * beside. Asked with a socket that never listens itself.
+     */
+    public static boolean taken(InetSocketAddress address, boolean sharing) throws IOException {
+        try (Socket probe = new Socket()) {
+            probe.setReuseAddress(true);
+            probe.setOption(StandardSocketOptions.SO_REUSEPORT, sharing);
+            probe.bind(address);
+            return false;
+        } catch (BindException e) {
+            return true;
+        }
+    }
+
     /** What a client proxy's connection is read with. */
     public ChannelHandler[] handlers() {
         RecordDecoder decoder = new RecordDecoder();
@@ -165,6 +187,10 @@
         return clock.now();
     }
 
+    boolean leaving() {
+        return leaving;
+    }
+
     int mostConnections() {
         return most;
     }
@@ -177,7 +203,9 @@
     @Override
     public void leave() {
         leaving = true;
-        listener.close();
+        if (listener != null) {
+            listener.close();
+        }
     }
 
     @Override
--- a/src/main/java/tinroad/fastcgi/FrontConnection.java
+++ b/src/main/java/tinroad/fastcgi/FrontConnection.java
@@ -225,7 +225,8 @@
     private void write(Exchange exchange, ByteBuf response) {
         open.remove(exchange.id);
         exchange.handOver();
-        closeWhenDone |= !exchange.keepConnection;
+        // Guards the end of a process against callers that always have something open: the first moment without counts.
+        closeWhenDone |= !exchange.keepConnection || front.leaving() && open.isEmpty() && !decoder.midRecord();
         ctx.writeAndFlush(response);
         touch();
         closeIfDone();
--- a/src/main/java/tinroad/roster/RosterReporter.java
+++ b/src/main/java/tinroad/roster/RosterReporter.java
@@ -26,6 +26,7 @@
     private Channel channel;
     private boolean reporting;
     private boolean on;
+    private boolean silent;
 
     /** Reports {@code name} to {@code roster}. */
     public RosterReporter(EventLoop loop, InetSocketAddress roster, String name) {
@@ -58,6 +59,11 @@
         }
     }
 
+    /** Reports nothing more: another process speaks for this gateway now. */
+    public void silence() {
+        silent = true;
+    }
+
     /** Reports at once, and again and again, that the gateway takes work or does not. */
     public void report(boolean takesWork) {
         reporting = true;
@@ -67,7 +73,7 @@
 
     private void send() {
         // Guards against a report before the socket is open: it would be lost until the next period.
-        if (reporting && channel.isActive()) {
+        if (reporting && !silent && channel.isActive()) {
             String report = "HERE " + name + (on ? " on" : " off");
             channel.writeAndFlush(new DatagramPacket(ByteBufUtil.writeUtf8(channel.alloc(), report), roster));
         }
--- a/src/test/java/tinroad/cli/ServeTest.java
+++ b/src/test/java/tinroad/cli/ServeTest.java
@@ -1,6 +1,7 @@
 package tinroad.cli;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.BufferedReader;
@@ -11,16 +12,27 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 
 /** {@code serve} as a process of its own, and the signals that reach it. */
+@Timeout(180)
 class ServeTest {
     private static final int HUNG_MS = 60_000;
 
+    private static Process serve(Path file, Path shared) throws IOException {
+        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-cp", System.getProperty("java.class.path"), "-Dorg.slf4j.simpleLogger.defaultLogLevel=info",
+                Main.class.getName(), "serve", "--config", file.toString()).redirectErrorStream(true);
+        builder.environment().put("TMPDIR", shared.toString());
+        return builder.start();
+    }
+
     private static void write(Path file, ServerSocket engine, DatagramSocket roster) throws IOException {
         Files.writeString(file, Files.readString(Path.of("deploy/example.json"))
                 .replace(":4400", ":" + engine.getLocalPort()).replace(":8761", ":" + roster.getLocalPort()));
@@ -55,12 +67,13 @@
         assertEquals(0, new ProcessBuilder("kill", "-" + name, Long.toString(gateway.pid())).start().waitFor());
     }
 
-    private static void waitFor(BufferedReader log, String part) throws IOException {
+    private static String waitFor(BufferedReader log, String part) throws IOException {
         String line = log.readLine();
         while (line != null && !line.contains(part)) {
             line = log.readLine();
         }
         assertTrue(line != null, "the log ended without: " + part);
+        return line;
     }
 
     @Test
@@ -69,9 +82,7 @@
         try (ServerSocket engine = engine(); ServerSocket nextEngine = engine(); DatagramSocket roster = roster();
                 DatagramSocket nextRoster = roster()) {
             write(file, engine, roster);
-            Process gateway = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                    "-cp", System.getProperty("java.class.path"), "-Dorg.slf4j.simpleLogger.defaultLogLevel=info",
-                    Main.class.getName(), "serve", "--config", file.toString()).redirectErrorStream(true).start();
+            Process gateway = serve(file, dir);
             try (BufferedReader log = gateway.inputReader(StandardCharsets.UTF_8); Socket link = engine.accept()) {
                 attach(link, 0);
                 hears(roster);
@@ -95,4 +106,48 @@
             }
         }
     }
+
+    @Test
+    void aSecondProcessTakesOverAndTheFirstLeavesWithoutAWordToTheRoster(@TempDir Path dir) throws Exception {
+        Path file = dir.resolve("config.json");
+        try (ServerSocket engine = engine(); ServerSocket nextEngine = engine(); DatagramSocket roster = roster();
+                DatagramSocket nextRoster = roster()) {
+            write(file, engine, roster);
+            Process first = serve(file, dir);
+            Process second = null;
+            try (BufferedReader log = first.inputReader(StandardCharsets.UTF_8); Socket link = engine.accept()) {
+                String listening = waitFor(log, "listening on ");
+                attach(link, 0);
+                hears(roster);
+                write(file, nextEngine, nextRoster);
+                Files.writeString(file, Files.readString(file).replace("127.0.0.1:0",
+                        listening.replaceAll(".*listening on /(\\S+) as .*", "$1")));
+                second = serve(file, dir);
+                try (BufferedReader nextLog = second.inputReader(StandardCharsets.UTF_8);
+                        Socket nextLink = nextEngine.accept()) {
+                    waitFor(nextLog, "another process listens on ");
+                    attach(nextLink, 0);
+                    hears(nextRoster);
+                    waitFor(nextLog, "listening on ");
+                    signal(first, "TERM");
+                    waitFor(log, "replaced by another process");
+                    waitFor(log, "drained");
+                    assertEquals(128 + 15, first.waitFor());
+                    // Its reports were all good ones, to the last.
+                    roster.setSoTimeout(1);
+                    assertThrows(SocketTimeoutException.class, () -> {
+                        while (true) {
+                            hears(roster);
+                        }
+                    });
+                    assertTrue(second.isAlive());
+                }
+            } finally {
+                first.destroyForcibly();
+                if (second != null) {
+                    second.destroyForcibly();
+                }
+            }
+        }
+    }
 }
--- a/src/test/java/tinroad/cli/ServerTest.java
+++ b/src/test/java/tinroad/cli/ServerTest.java
@@ -17,11 +17,13 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import tinroad.Controller;
 import tinroad.config.GatewayConfig;
 import tinroad.config.Site;
 
 /** The whole program on ephemeral loopback ports: it starts, serves its health, drains and ends. */
+@Timeout(180)
 class ServerTest {
     private static final int HUNG_MS = 60_000;
     /** BEGIN_REQUEST, PARAMS with SCRIPT_NAME=/healthz, and the ends of both streams. */
@@ -67,7 +69,7 @@
     void itServesOnceTheEngineIsThereAndEndsWhenItIsToldTo() throws Exception {
         try (ServerSocket engine = new ServerSocket(0, 5, InetAddress.getLoopbackAddress());
                 DatagramSocket roster = new DatagramSocket(0, InetAddress.getLoopbackAddress());
-                Server server = new Server(config(engine, roster))) {
+                Server server = new Server(config(engine, roster), null)) {
             engine.setSoTimeout(HUNG_MS);
             InetSocketAddress address = server.start();
             try (Socket link = engine.accept()) {
@@ -94,7 +96,7 @@
             GatewayConfig free = config(engine, roster);
             GatewayConfig taken = new GatewayConfig(free.name(), (InetSocketAddress) engine.getLocalSocketAddress(),
                     null, free.engine(), free.roster(), 1, 600, 1024, 192, free.site());
-            try (Server server = new Server(taken)) {
+            try (Server server = new Server(taken, null)) {
                 String message = assertThrows(IOException.class, server::start).getMessage();
                 assertTrue(message.startsWith("can't listen on "), message);
             }
--- a/src/test/java/tinroad/control/ControlServerTest.java
+++ b/src/test/java/tinroad/control/ControlServerTest.java
@@ -21,6 +21,11 @@
 class ControlServerTest {
     private Harness h = Harness.started();
 
+    /** Each test, and each try of a property, has a gateway that callers reach. */
+    ControlServerTest() {
+        h.gateway.opened();
+    }
+
     private EmbeddedChannel connect() {
         return new EmbeddedChannel(new ControlServer(h.gateway).handlers());
     }
@@ -51,6 +56,8 @@
         h = new Harness(0);
         assertEquals("HTTP/1.1 503 Service Unavailable\nnot ready\n", call("GET /api/ready"));
         h.gateway.attached(true, 0);
+        assertEquals("HTTP/1.1 503 Service Unavailable\nnot ready\n", call("GET /api/ready"));
+        h.gateway.opened();
         assertEquals("HTTP/1.1 200 OK\nready\n", call("GET /api/ready"));
         assertEquals("HTTP/1.1 200 OK\ndraining\n", call("POST /api/evacuate"));
         assertFalse(h.gateway.healthy());
--- a/src/test/java/tinroad/fastcgi/FrontConnectionTest.java
+++ b/src/test/java/tinroad/fastcgi/FrontConnectionTest.java
@@ -91,6 +91,20 @@
         assertTrue(channel.isOpen());
     }
 
+    @Test
+    void aLeavingGatewayClosesABusyConnectionAtTheFirstMomentWithNothingOpenOrHalfRead() {
+        receive(Records.whole(1, Records.fields(id(1)), "body"));
+        front.leave();
+        byte[] next = Records.whole(2, Records.fields(id(2)), "body");
+        receive(Arrays.copyOf(next, 20));
+        done(1, "one");
+        assertTrue(channel.isOpen());
+        receive(Arrays.copyOfRange(next, 20, next.length));
+        done(2, "two");
+        assertEquals(List.of("1: " + SERVED + "one", "2: " + SERVED + "two"), answers());
+        assertFalse(channel.isOpen());
+    }
+
     @Property(seed = "20261202", tries = 300)
     void garbageCostsItsOwnConnectionOnly(@ForAll @Size(max = 300) byte[] garbage, @ForAll long seed) {
         receive(Records.whole(1, Records.fields(id(1)), "body"));
