Advise callers to stay away only as long as held work lasts, so that no engine falls idle

Seen: in overload att/r was 0.6 to 0.9: client proxies turned requests away themselves, since every gateway had asked them to stay away, while engines stood still. Lines at fault: OverloadController.refuse, whose advice was a fixed part of the longest one, whatever was held. Ruled out: the run limit (use reached 97%), the rank cut (0.00 to 0.08), memory (0.23), lost reports, late gauges.

Now: the time that the held work takes, and what this request waited; the fixed parts are upper bounds.

With more requests at each upgrade, one or two were lost there twice: 'server closed the connection of request, which had no answer'. Cause: a leaving process closed at the first empty moment, with a request of more than 50 ms ago still unread in the socket (CPU at the limit while both run).

--- a/src/main/java/tinroad/OverloadController.java
+++ b/src/main/java/tinroad/OverloadController.java
@@ -93,7 +93,7 @@
     private static final double CALL_CUT = 0.8;
     /** A tenant is over its share this many spreads of chance beyond its quota and part beside others. */
     private static final double OVER_SPREAD = 2.5;
-    /** Part of the longest advice given for load alone: all of it sets callers swinging between servers. */
+    /** Part of the longest advice that load alone may give: all of it sets callers swinging. */
     private static final double LOAD_ADVICE = 0.5;
     /** Marked retries beyond this part of the arrivals: others refuse too, so trying them again is no use. */
     private static final double RESENT_GENERAL = 0.2;
@@ -374,21 +374,18 @@
     /** Estimated time to the answer: the work ahead of this request, then its own run. */
     private double finish(Work w) {
         double own = run(w.cls);
-        double ahead = 0;
-        double order = priority(w);
-        for (Work h : held) {
-            if (priority(h) >= order) {
-                ahead += run(h.cls);
-            }
-        }
+        double ahead = ahead(priority(w));
         double busy = Math.max((running + 1) * onCore(), set.cores()) / set.cores();
-        if (ahead > 0 || running >= (int) limit()) {
-            ahead += own / 2;
-        }
+        ahead += ahead > 0 || running >= (int) limit() ? own / 2 : 0;
         double most = Math.max(1, limit() * onCore() / set.cores());
         return ahead * onCore() / set.cores() + own * Math.min(busy, most) + stats[w.cls].away;
     }
 
+    /** Runs of what is held and goes before this order. */
+    private double ahead(double order) {
+        return held.stream().filter(h -> priority(h) >= order).mapToDouble(h -> run(h.cls)).sum();
+    }
+
     private void keep(Work w, RequestClass c, Request r, double now) {
         double span = 0;
         if (c.semantics() == Semantics.GUARDED) {
@@ -754,12 +751,15 @@
     // --- answers ---
 
     /**
-     * Turns away what never ran. Own trouble: go elsewhere. General load: do not retry. Many marked retries
-     * tell of it; where none are marked, any request may have been elsewhere, and its client tries again.
+     * Turns away what never ran. Own trouble: go elsewhere. General load: do not retry; many marked retries
+     * tell of it; where none are marked, any may have been elsewhere. Advice lasts as long as the held work
+     * takes and this request waited: all callers gone for longer than that leaves the cores idle.
      */
     private void refuse(Work w) {
-        boolean local = shut() || slowdown() > SLOW_RATIO || drainAt < Double.MAX_VALUE;
-        double away = set.passesStayAway() ? set.maxStayAway() * (local ? 1 : LOAD_ADVICE) : 0;
+        boolean closed = shut() || drainAt < Double.MAX_VALUE;
+        boolean local = closed || slowdown() > SLOW_RATIO;
+        double most = set.passesStayAway() ? set.maxStayAway() * (local ? 1 : LOAD_ADVICE) : 0;
+        double away = closed ? most : Math.min(most, ahead(0) * onCore() / set.cores() + clock - w.arrived);
         w.answered = true;
         boolean general = !set.marksRetry() || w.resent || resentPart > RESENT_GENERAL;
         act.refuse(w.id, away, !local && general);
--- a/src/main/java/tinroad/fastcgi/FrontConnection.java
+++ b/src/main/java/tinroad/fastcgi/FrontConnection.java
@@ -10,6 +10,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.util.collection.IntObjectHashMap;
@@ -225,11 +226,34 @@
     private void write(Exchange exchange, ByteBuf response) {
         open.remove(exchange.id);
         exchange.handOver();
-        // Guards the end of a process against callers that always have something open: the first moment without counts.
-        closeWhenDone |= !exchange.keepConnection || front.leaving() && open.isEmpty() && !decoder.midRecord();
+        closeWhenDone |= !exchange.keepConnection;
         ctx.writeAndFlush(response);
         touch();
         closeIfDone();
+        if (front.leaving() && open.isEmpty()) {
+            ctx.executor().execute(this::leaveIfEmpty);
+        }
+    }
+
+    /** Guards the end of a process against callers that always have something open: the first moment without counts. */
+    private void leaveIfEmpty() {
+        if (!closeWhenDone && ctx.channel().isActive()) {
+            readNow();
+            if (open.isEmpty() && !decoder.midRecord()) {
+                closeWhenDone = true;
+                closeIfDone();
+            }
+        }
+    }
+
+    /**
+     * Reads what the socket holds. Guards a request that arrived while this process stalled, and waits there unread:
+     * callers take it for lost where the connection closes more than 50 ms after they wrote it.
+     */
+    private void readNow() {
+        if (ctx.channel().unsafe() instanceof AbstractNioChannel.NioUnsafe socket) {
+            socket.read();
+        }
     }
 
     // --- the connection's own life ---
@@ -255,7 +279,11 @@
         if (!empty() || now - lastUsed < limit) {
             candidate = false;
         } else if (candidate) {
-            ctx.close();
+            int before = records;
+            readNow();
+            if (records == before && empty()) {
+                ctx.close();
+            }
         } else {
             candidate = true;
         }
--- a/src/test/java/tinroad/fastcgi/FrontConnectionTest.java
+++ b/src/test/java/tinroad/fastcgi/FrontConnectionTest.java
@@ -98,9 +98,11 @@
         byte[] next = Records.whole(2, Records.fields(id(2)), "body");
         receive(Arrays.copyOf(next, 20));
         done(1, "one");
+        channel.runPendingTasks();
         assertTrue(channel.isOpen());
         receive(Arrays.copyOfRange(next, 20, next.length));
         done(2, "two");
+        channel.runPendingTasks();
         assertEquals(List.of("1: " + SERVED + "one", "2: " + SERVED + "two"), answers());
         assertFalse(channel.isOpen());
     }
