Share the connections between the two processes of a gateway while a new one takes over

Now each keeps to half while there are two, told by a lock file in TMPDIR that the system lets go however its holder ends.

--- a/src/main/java/tinroad/cli/Server.java
+++ b/src/main/java/tinroad/cli/Server.java
@@ -26,6 +26,8 @@
     /** So long before that no new connection is taken, and empty ones are closed. */
     private static final double CLOSING = 250;
     private static final long POLL_MS = 10;
+    /** Period of the look for another process, in ms. */
+    private static final long SHARE_MS = 250;
     private static final Logger LOG = LoggerFactory.getLogger("server");
 
     private final GatewayConfig config;
@@ -37,6 +39,7 @@
     private final FastCgiFront front;
     private final RosterReporter roster;
     private final Succession succession;
+    private boolean shared;
     private final CountDownLatch serving = new CountDownLatch(1);
     private final CountDownLatch ended = new CountDownLatch(1);
 
@@ -78,6 +81,7 @@
         boolean beside = FastCgiFront.taken(config.listen(), false) && !FastCgiFront.taken(config.listen(), true);
         if (beside) {
             LOG.info("another process listens on {}: beside it once the engine is there", config.listen());
+            share(true);
             connect();
             serving.await();
         }
@@ -156,12 +160,24 @@
         }
     }
 
+    /** Blocks until the end. Meanwhile it looks whether another process shares what this gateway may hold. */
     void awaitEnd() throws InterruptedException {
-        ended.await();
+        do {
+            share(succession.shared());
+        } while (!ended.await(SHARE_MS, TimeUnit.MILLISECONDS));
+    }
+
+    private void share(boolean withAnother) {
+        if (withAnother != shared) {
+            shared = withAnother;
+            LOG.info(withAnother ? "half of the connections: another process shares the limits" : "all connections: alone again");
+            loop.execute(() -> front.share(withAnother));
+        }
     }
 
     @Override
     public void close() {
+        succession.close();
         group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
     }
 }
--- a/src/main/java/tinroad/cli/Succession.java
+++ b/src/main/java/tinroad/cli/Succession.java
@@ -1,25 +1,33 @@
 package tinroad.cli;
 
 import java.io.IOException;
+import java.nio.channels.FileChannel;
+import java.nio.channels.OverlappingFileLockException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
 import java.util.UUID;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /**
- * Which process of a gateway was the last to listen: told by a file in the directory that they share. A process that
- * finds another named there was replaced while it served.
+ * Which process of a gateway was the last to listen, and whether there is another: told by files in the directory that
+ * they share. A process that finds another named there was replaced while it served; the one that came first holds a
+ * lock, which the system lets go however that process ends.
  */
-final class Succession {
+final class Succession implements AutoCloseable {
     private static final Logger LOG = LoggerFactory.getLogger("server");
 
     private final Path file;
+    private final Path lock;
     private final String self = UUID.randomUUID().toString();
+    private FileChannel held;
 
     /** The processes named {@code name} that share {@code directory}; null where there is none to share. */
     Succession(String directory, String name) {
-        file = directory == null || directory.isEmpty() ? null : Path.of(directory, "tinroad-" + name + ".latest");
+        boolean shared = directory != null && !directory.isEmpty();
+        file = shared ? Path.of(directory, "tinroad-" + name + ".latest") : null;
+        lock = shared ? Path.of(directory, "tinroad-" + name + ".lock") : null;
     }
 
     /** This process listens now. */
@@ -42,4 +50,47 @@
             return false;
         }
     }
+
+    /** Whether there are two: this process was replaced, or the one before it still lives. */
+    boolean shared() {
+        return passedOn() || !first();
+    }
+
+    /** Whether no process that came before this one is left; from then on later ones see this one. */
+    private boolean first() {
+        if (lock == null || held != null) {
+            return true;
+        }
+        try {
+            FileChannel channel = FileChannel.open(lock, StandardOpenOption.CREATE, StandardOpenOption.WRITE);
+            held = locked(channel) ? channel : null;
+            if (held == null) {
+                channel.close();
+            }
+            return held != null;
+        } catch (IOException e) {
+            // Nobody can tell: it serves as a process that is alone.
+            return true;
+        }
+    }
+
+    private static boolean locked(FileChannel channel) throws IOException {
+        try {
+            return channel.tryLock() != null;
+        } catch (OverlappingFileLockException e) {
+            // Another gateway object of this very process holds it, as in tests.
+            return false;
+        }
+    }
+
+    @Override
+    public void close() {
+        try {
+            if (held != null) {
+                held.close();
+            }
+        } catch (IOException e) {
+            LOG.warn("can't let go of {}: {}", lock, e.toString());
+        }
+    }
 }
--- a/src/main/java/tinroad/fastcgi/FastCgiFront.java
+++ b/src/main/java/tinroad/fastcgi/FastCgiFront.java
@@ -54,7 +54,9 @@
 
     private final Clock clock;
     private final Gateway gateway;
-    private final int most;
+    private final int mostAlone;
+    private final int mostShared;
+    private int most;
     private final long mostPartial;
     private final Set<FrontConnection> connections = new LinkedHashSet<>();
     private Channel listener;
@@ -68,7 +70,9 @@
     public FastCgiFront(Clock clock, Gateway gateway, int sockets, double memoryMb) {
         this.clock = clock;
         this.gateway = gateway;
-        this.most = Math.max(1, sockets - RESERVED);
+        this.mostAlone = Math.max(1, sockets - RESERVED);
+        this.mostShared = Math.max(1, (sockets - RESERVED) / 2);
+        this.most = mostAlone;
         this.mostPartial = Math.min(MOST_PARTIAL, (long) (memoryMb * 1024 * 1024 / PARTIAL_PART));
     }
 
@@ -138,6 +142,16 @@
         }
     }
 
+    /**
+     * Guards the descriptors that two processes of a gateway may hold together: while there are two, each keeps to half
+     * of the connections, and lets go of what it has beyond that, the least useful first.
+     */
+    public void share(boolean withAnother) {
+        most = withAnother ? mostShared : mostAlone;
+        for (int over = connections.size() - most; over > 0 && makeRoom(null); over--) { }
+        noteFull();
+    }
+
     /** Closes the least useful connection other than this one; false where each has a request in hand. */
     private boolean makeRoom(FrontConnection keep) {
         Optional<FrontConnection> least =
--- a/src/test/java/tinroad/cli/ServeTest.java
+++ b/src/test/java/tinroad/cli/ServeTest.java
@@ -126,6 +126,7 @@
                 try (BufferedReader nextLog = second.inputReader(StandardCharsets.UTF_8);
                         Socket nextLink = nextEngine.accept()) {
                     waitFor(nextLog, "another process listens on ");
+                    waitFor(nextLog, "half of the connections");
                     attach(nextLink, 0);
                     hears(nextRoster);
                     waitFor(nextLog, "listening on ");
@@ -133,6 +134,7 @@
                     waitFor(log, "replaced by another process");
                     waitFor(log, "drained");
                     assertEquals(128 + 15, first.waitFor());
+                    waitFor(nextLog, "all connections: alone again");
                     // Its reports were all good ones, to the last.
                     roster.setSoTimeout(1);
                     assertThrows(SocketTimeoutException.class, () -> {
--- a/src/test/java/tinroad/fastcgi/FrontConnectionTest.java
+++ b/src/test/java/tinroad/fastcgi/FrontConnectionTest.java
@@ -107,6 +107,23 @@
         assertFalse(channel.isOpen());
     }
 
+    @Test
+    void twoProcessesKeepToHalfOfTheConnectionsEachAndLetTheLeastUsefulGo() {
+        front = new FastCgiFront(h, h.gateway, FastCgiFront.RESERVED + 4, 192);
+        List<EmbeddedChannel> silent = IntStream.range(0, 3).mapToObj(i -> connect()).toList();
+        channel = connect();
+        receive(Records.whole(1, Records.fields(id(1)), "body"));
+        front.share(true);
+        assertEquals(List.of(false, false, true), silent.stream().map(EmbeddedChannel::isOpen).toList());
+        assertEquals(2, front.connections());
+        done(1, "fine");
+        assertEquals(List.of("1: " + SERVED + "fine"), answers());
+        front.share(false);
+        connect();
+        connect();
+        assertEquals(4, front.connections());
+    }
+
     @Property(seed = "20261202", tries = 300)
     void garbageCostsItsOwnConnectionOnly(@ForAll @Size(max = 300) byte[] garbage, @ForAll long seed) {
         receive(Records.whole(1, Records.fields(id(1)), "body"));
