Refuse to check with a start where a gateway serves: it would now start beside it

It would have attached to that gateway's engine, whose new link replaces the old, and taken half of its new callers.

--- a/src/test/java/tinroad/cli/MainTest.java
+++ b/src/test/java/tinroad/cli/MainTest.java
@@ -7,6 +7,10 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.PrintStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.StandardSocketOptions;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -57,6 +61,17 @@
         assertTrue(out.toString(StandardCharsets.UTF_8).startsWith("ok: n3 with classes [order-status, new-order]"));
     }
 
+    @Test
+    void aCheckStartsNothingBesideAGatewayThatServesThere(@TempDir Path dir) throws IOException {
+        try (ServerSocket serving = new ServerSocket()) {
+            serving.setOption(StandardSocketOptions.SO_REUSEPORT, true);
+            serving.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+            String config = Files.readString(Path.of("deploy/example.json"))
+                    .replace("127.0.0.1:0", "127.0.0.1:" + serving.getLocalPort());
+            failsInOneLine(1, "another process does", "check", "--start", "--config", file(dir, config));
+        }
+    }
+
     @Test
     void wirehostAnswersTheSimulator() {
         assertEquals(0, run("{\"t\":\"mark\",\"moment\":1.0,\"turn\":7}\n{\"t\":\"eob\"}\n", "wirehost"));
