Take a notice to leave at any moment of the start, and read news of a missed SIGHUP

Cause: cli.Serve registered its shutdown hook after server.start(), so SIGTERM between the two ended the process with IllegalStateException: Shutdown in progress, and what was read was lost.

Change: the hook comes before anything listens; listening and leaving are decided by one state, on the event loop, so that a notice before the listener ends the process at once, also during the rehearsal. SigIgn of /proc/self/status is told at the start; while the engine is gone, recovery.Rereads says when the file is read again: after 1 to 1.5 s, then by decorrelated jitter of 1 to 8 s, seeded. A process that has not said that it listens is no replaced one, whatever the file in TMPDIR says.

Tests: 24 starts with SIGTERM at moments of the start, half of them as soon as they listen, with a caller each; a process started with SIGHUP ignored finds the moved engine.

--- a/src/main/java/tinroad/cli/Serve.java
+++ b/src/main/java/tinroad/cli/Serve.java
@@ -25,19 +25,45 @@
     void run(GatewayConfig config, Operator operator, PrintStream out) throws IOException, InterruptedException {
         LogSink sink = LogSink.of(operator);
         try (Server server = new Server(config, System.getenv("TMPDIR"))) {
-            // Before anything can reach this process: a virtual machine that nobody handles the signal for ends on it.
+            // Before anything can reach this process: a virtual machine that nobody handles the signals for ends on them.
+            if (!leaveOnNotice(server, sink)) {
+                return;
+            }
             if (Signals.register("HUP", () -> reload(server, sink)) == null) {
                 LOG.warn("SIGHUP can't be handled here: it would end this process");
+            } else if (Ignored.signal(Ignored.HUP)) {
+                LOG.warn("SIGHUP is ignored, as this process was started so: the configuration is read again only"
+                        + " while the engine is gone");
             }
             server.rehearse();
-            server.start();
+            if (server.start() != null) {
+                server.awaitEnd(this::reread);
+            }
+        } finally {
+            sink.end();
+        }
+    }
+
+    /** Has a notice to leave drain the gateway; false where one has come already, and the process is about to end. */
+    private static boolean leaveOnNotice(Server server, LogSink sink) {
+        try {
             Runtime.getRuntime().addShutdownHook(new Thread(() -> {
                 server.leave();
                 sink.end();
             }, "leave"));
-            server.awaitEnd();
-        } finally {
-            sink.end();
+            return true;
+        } catch (IllegalStateException e) {
+            // Nothing listens yet, so there is nothing to answer.
+            return false;
+        }
+    }
+
+    /** Guards against a signal that never reached this process: the configuration, read unasked; null if it can't be used. */
+    private synchronized GatewayConfig reread() {
+        try {
+            return read();
+        } catch (ConfigException e) {
+            return null;
         }
     }
 
--- a/src/main/java/tinroad/cli/Server.java
+++ b/src/main/java/tinroad/cli/Server.java
@@ -8,15 +8,19 @@
 import tinroad.engine.EngineLink;
 import tinroad.fastcgi.FastCgiFront;
 import tinroad.log.Keys;
+import tinroad.recovery.Rereads;
 import tinroad.roster.RosterReporter;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Supplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -31,6 +35,8 @@
     private static final long SHARE_MS = 250;
     private static final Logger LOG = LoggerFactory.getLogger("server");
 
+    private enum Begun { NEITHER, LISTENING, LEAVING }
+
     private final GatewayConfig config;
     private final Clock clock = Clock.anchored();
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -40,18 +46,27 @@
     private final FastCgiFront front;
     private final RosterReporter roster;
     private final Succession succession;
+    private final Rereads rereads;
     private boolean shared;
+    /** What came first: the listener, or the notice to leave. */
+    private final AtomicReference<Begun> begun = new AtomicReference<>(Begun.NEITHER);
+    /** Where engine and roster are, by the configuration that was read last. */
+    private volatile InetSocketAddress engineAt;
+    private volatile InetSocketAddress rosterAt;
     private final CountDownLatch serving = new CountDownLatch(1);
     private final CountDownLatch ended = new CountDownLatch(1);
 
     /** A gateway that shares {@code directory}, or null, with other processes under the same name. */
     Server(GatewayConfig config, String directory) {
         this.config = config;
+        engineAt = config.engine();
+        rosterAt = config.roster();
         succession = new Succession(directory, config.name());
         engine = new EngineLink(loop, config.engine(), config.site().gaugeNames());
         gateway = new Gateway(config.site(), config.seed(), clock, this::after, engine, OverloadController::new,
                 LoggerFactory.getLogger("gateway"));
         front = new FastCgiFront(clock, gateway, config.sockets(), config.memoryMb());
+        rereads = new Rereads(config.seed());
         roster = new RosterReporter(loop, config.roster(), config.name());
         gateway.add(front);
         gateway.onHealth(this::health);
@@ -73,7 +88,10 @@
         loop.submit(() -> new Rehearsal(config.site()).play()).await();
     }
 
-    /** Listens, and begins to connect to the engine; returns the address that it listens on. */
+    /**
+     * Listens, and begins to connect to the engine; returns the address that it listens on, or null where the notice
+     * to leave came first: then nothing ever listens.
+     */
     InetSocketAddress start() throws IOException, InterruptedException {
         if (config.control() != null) {
             listening(new ControlServer(gateway).listen(loop, config.control()), config.control());
@@ -87,7 +105,13 @@
             connect();
             serving.await();
         }
-        ChannelFuture bound = listening(front.listen(loop, config.listen()), config.listen());
+        // On the loop, as the drain is: whichever comes first, the other sees it whole.
+        Future<ChannelFuture> listen = loop.submit(() -> begun.compareAndSet(Begun.NEITHER, Begun.LISTENING)
+                ? front.listen(loop, config.listen()) : null).await();
+        if (listen.getNow() == null) {
+            return null;
+        }
+        ChannelFuture bound = listening(listen.getNow(), config.listen());
         succession.take();
         loop.execute(gateway::opened);
         Keys.with(Keys.with(LOG.atInfo(), "listen", bound.channel().localAddress()), "member", config.name())
@@ -115,6 +139,8 @@
 
     /** Goes on with the addresses of engine and roster in {@code next}; all else in it counts at the next start. */
     void reload(GatewayConfig next) {
+        engineAt = next.engine();
+        rosterAt = next.roster();
         loop.execute(() -> {
             Keys.with(Keys.with(LOG.atInfo(), "engine", next.engine()), "roster", next.roster())
                     .log("configuration read again: engine {}, roster {}", next.engine(), next.roster());
@@ -129,6 +155,12 @@
      */
     void leave() {
         double noticedAt = clock.now();
+        if (begun.compareAndSet(Begun.NEITHER, Begun.LEAVING)) {
+            // Guards against a wait for the rehearsal, or for the engine: nobody has asked for anything yet.
+            LOG.info("told to leave before it listened");
+            ended.countDown();
+            return;
+        }
         boolean replaced = succession.passedOn();
         loop.execute(() -> {
             if (replaced) {
@@ -164,10 +196,20 @@
         }
     }
 
-    /** Blocks until the end. Meanwhile it looks whether another process shares what this gateway may hold. */
-    void awaitEnd() throws InterruptedException {
+    /**
+     * Blocks until the end. Meanwhile it looks whether another process shares what this gateway may hold, and, while the
+     * engine is gone, what the configuration says by now: {@code reread}, which may tell null.
+     */
+    void awaitEnd(Supplier<GatewayConfig> reread) throws InterruptedException {
         do {
             share(succession.shared());
+            if (rereads.due(clock.now(), engine.reached())) {
+                GatewayConfig next = reread.get();
+                if (next != null && !(next.engine().equals(engineAt) && next.roster().equals(rosterAt))) {
+                    LOG.info("engine gone: the configuration has changed unheard");
+                    reload(next);
+                }
+            }
         } while (!ended.await(SHARE_MS, TimeUnit.MILLISECONDS));
     }
 
--- a/src/main/java/tinroad/cli/Succession.java
+++ b/src/main/java/tinroad/cli/Succession.java
@@ -22,6 +22,7 @@
     private final Path lock;
     private final String self = UUID.randomUUID().toString();
     private FileChannel held;
+    private volatile boolean taken;
 
     /** The processes named {@code name} that share {@code directory}; null where there is none to share. */
     Succession(String directory, String name) {
@@ -32,6 +33,7 @@
 
     /** This process listens now. */
     void take() {
+        taken = true;
         if (file != null) {
             try {
                 Files.writeString(file, self);
@@ -44,7 +46,8 @@
     /** Whether another process listened later. */
     boolean passedOn() {
         try {
-            return file != null && !Files.readString(file).equals(self);
+            // Guards a process whose notice comes between its listening and its word: the one named was there before.
+            return taken && file != null && !Files.readString(file).equals(self);
         } catch (IOException e) {
             // Nobody can have told so: it leaves as a process that has no successor.
             return false;
--- a/src/main/java/tinroad/engine/EngineLink.java
+++ b/src/main/java/tinroad/engine/EngineLink.java
@@ -55,6 +55,9 @@
     private ChannelHandlerContext link;
     /** Counts the attempts to connect: what an earlier one brings about decides nothing any more. */
     private int attempts;
+    /** Attached or, before the first time, connected: the engine may come up long after the gateway. */
+    private volatile boolean reached;
+    private boolean attachedOnce;
     private long lastNotice;
     private long retryMs = FIRST_RETRY_MS;
 
@@ -96,6 +99,7 @@
         if (link != null) {
             ChannelHandlerContext old = link;
             link = null;
+            reached = false;
             loop.schedule(() -> closeOnceReplaced(old), HAND_OVER_MS, TimeUnit.MILLISECONDS);
         }
     }
@@ -113,6 +117,11 @@
         return new ChannelHandler[] {new LineBasedFrameDecoder(LONGEST_LINE), new Notices(attempts)};
     }
 
+    /** Whether the engine is where it is looked for; any thread may ask. */
+    public boolean reached() {
+        return reached;
+    }
+
     private void connect() {
         int attempt = ++attempts;
         new Bootstrap().group(loop).channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true)
@@ -206,6 +215,7 @@
                 ctx.close();
                 return;
             }
+            reached |= !attachedOnce;
             send(ctx, json -> {
                 json.writeStringField("type", "ATTACH");
                 json.writeNumberField("n", lastNotice);
@@ -235,6 +245,8 @@
                     // Guards against the greeting of a link that was given up for another address meanwhile.
                     if (attempt == attempts) {
                         link = context;
+                        attachedOnce = true;
+                        reached = true;
                         retryMs = FIRST_RETRY_MS;
                         askGauges(CATCH_UP);
                         listener.attached(notice.state().equals("fresh"), notice.took());
@@ -264,6 +276,9 @@
                 link = null;
                 listener.detached();
             }
+            if (link == null) {
+                reached = false;
+            }
             reconnect(attempt);
         }
 
--- /dev/null
+++ b/src/main/java/tinroad/recovery/Rereads.java
@@ -0,0 +1,47 @@
+package tinroad.recovery;
+
+import java.util.SplittableRandom;
+
+/**
+ * When to read the configuration again without being told to, as the engine is gone and may have moved. Guards against
+ * a signal that never came: it then costs seconds and not the day. While the engine stays away the readings grow rarer,
+ * by decorrelated jitter (the next gap is drawn from the first one to three times the last one, up to a cap); the seed
+ * keeps the gateways of a fleet, which all lost their engines at once, out of step. Owned by the thread that asks.
+ */
+public final class Rereads {
+    /** So long, in ms, the engine is away before the first reading: links break and come back all the time. */
+    public static final double FIRST = 1000;
+    /** The first reading is spread over this time, in ms. */
+    public static final double SPREAD = 500;
+    /** The longest time between two readings, in ms. */
+    public static final double CAP = 8000;
+
+    private final SplittableRandom random;
+    private boolean gone;
+    private double gap;
+    private double nextAt;
+
+    /** Readings out of step with those of any other seed. */
+    public Rereads(long seed) {
+        random = new SplittableRandom(seed);
+    }
+
+    /** Whether to read at {@code now}, in ms; asked again and again, {@code reached} telling whether the engine is there. */
+    public boolean due(double now, boolean reached) {
+        if (reached) {
+            gone = false;
+            return false;
+        }
+        if (!gone) {
+            gone = true;
+            gap = FIRST;
+            nextAt = now + FIRST + random.nextDouble(SPREAD);
+        }
+        if (now < nextAt) {
+            return false;
+        }
+        gap = Math.min(CAP, random.nextDouble(FIRST, 3 * gap));
+        nextAt = now + gap;
+        return true;
+    }
+}
--- a/src/test/java/tinroad/cli/ServeTest.java
+++ b/src/test/java/tinroad/cli/ServeTest.java
@@ -1,6 +1,7 @@
 package tinroad.cli;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -20,6 +21,10 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.stream.Collectors;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -31,11 +36,20 @@
 class ServeTest {
     private static final int HUNG_MS = 60_000;
 
+    /** BEGIN_REQUEST, PARAMS with SCRIPT_NAME=/healthz, and the ends of both streams. */
+    private static final String HEALTH_CHECK = "\1\1\0\1\0\10\0\0\0\1\1\0\0\0\0\0\1\4\0\1\0\25\0\0\13\10SCRIPT_NAME/healthz"
+            + "\1\4\0\1\0\0\0\0\1\5\0\1\0\0\0\0";
+
     private static Process serve(Path file, Path shared, String... more) throws IOException {
+        return serve(List.of(), file, shared, more);
+    }
+
+    private static Process serve(List<String> by, Path file, Path shared, String... more) throws IOException {
         // Without the tests' own settings of the log.
         String path = Arrays.stream(System.getProperty("java.class.path").split(File.pathSeparator))
                 .filter(entry -> !entry.contains("test-classes")).collect(Collectors.joining(File.pathSeparator));
-        List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+        List<String> command = new ArrayList<>(by);
+        command.addAll(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-cp", path,
                 Main.class.getName(), "serve", "--config", file.toString()));
         command.addAll(List.of(more));
@@ -61,6 +75,10 @@
         return roster;
     }
 
+    private static void end(ServerSocket engine) throws IOException {
+        engine.close();
+    }
+
     private static void attach(Socket link, int n) throws IOException {
         BufferedReader lines = new BufferedReader(new InputStreamReader(link.getInputStream(), StandardCharsets.US_ASCII));
         assertEquals("{\"type\":\"ATTACH\",\"n\":" + n + "}", lines.readLine());
@@ -119,6 +137,100 @@
         }
     }
 
+    /** Started where SIGHUP is ignored, as under nohup: the virtual machine leaves it so. */
+    @Test
+    void whereHangupsAreIgnoredItSaysSoAndReadsItsFileAgainOnceTheEngineIsGone(@TempDir Path dir) throws Exception {
+        Path file = dir.resolve("config.json");
+        try (ServerSocket engine = engine(); ServerSocket nextEngine = engine(); DatagramSocket roster = roster();
+                DatagramSocket nextRoster = roster()) {
+            write(file, engine, roster);
+            Process gateway = serve(List.of("sh", "-c", "trap '' HUP; exec \"$@\"", "sh"), file, dir);
+            try (BufferedReader log = gateway.inputReader(StandardCharsets.UTF_8)) {
+                waitFor(log, "SIGHUP is ignored");
+                try (Socket link = engine.accept()) {
+                    attach(link, 0);
+                    hears(roster);
+                    write(file, nextEngine, nextRoster);
+                    signal(gateway, "HUP");
+                    end(engine);
+                }
+                waitFor(log, "engine gone: the configuration has changed unheard");
+                hears(nextRoster);
+                try (Socket nextLink = nextEngine.accept()) {
+                    attach(nextLink, 1);
+                    waitFor(log, "engine attached again");
+                }
+            } finally {
+                gateway.destroyForcibly();
+            }
+        }
+    }
+
+    /** A gateway's start that is told to leave {@code after} ms on, or, where that is negative, once it listens. */
+    private static String noticedStart(Path dir, int n, int after) throws Exception {
+        InetAddress address = InetAddress.getByName("127.0.9." + (1 + n));
+        Path file = dir.resolve("config" + n + ".json");
+        int port;
+        try (ServerSocket free = new ServerSocket(0, 1, address)) {
+            port = free.getLocalPort();
+        }
+        Files.writeString(file, Files.readString(Path.of("deploy/example.json")).replace("127.0.0.1:0",
+                address.getHostAddress() + ":" + port).replace("\"stop_ms\": 500", "\"stop_ms\": 1500"));
+        Process gateway = serve(file, Files.createDirectory(dir.resolve("tmp" + n)));
+        AtomicReference<String> answer = new AtomicReference<>("no connection");
+        Thread caller = new Thread(() -> {
+            while (gateway.isAlive() && answer.get().equals("no connection")) {
+                try (Socket asks = new Socket(address, port)) {
+                    answer.set("");
+                    asks.getOutputStream().write(HEALTH_CHECK.getBytes(StandardCharsets.ISO_8859_1));
+                    answer.set(new String(asks.getInputStream().readNBytes(17), StandardCharsets.ISO_8859_1));
+                } catch (IOException e) {
+                    Thread.onSpinWait();
+                }
+            }
+        });
+        caller.start();
+        StringBuilder all = new StringBuilder();
+        try (BufferedReader log = gateway.inputReader(StandardCharsets.UTF_8)) {
+            if (after >= 0) {
+                Thread.sleep(after);
+                signal(gateway, "TERM");
+            }
+            for (String line = log.readLine(); line != null; line = log.readLine()) {
+                all.append(line).append('\n');
+                if (after < 0 && line.contains("listening on")) {
+                    signal(gateway, "TERM");
+                }
+            }
+            assertEquals(128 + 15, gateway.waitFor());
+            caller.join();
+        } finally {
+            gateway.destroyForcibly();
+        }
+        return all + answer.get();
+    }
+
+    @Test
+    void aNoticeAtAnyMomentOfTheStartEndsItInOrderAndLosesNothing(@TempDir Path dir) throws Exception {
+        ExecutorService starts = Executors.newFixedThreadPool(4);
+        try {
+            List<Future<String>> lives = new ArrayList<>();
+            for (int n = 0; n < 24; n++) {
+                int number = n;
+                lives.add(starts.submit(() -> noticedStart(dir, number, number % 2 == 0 ? -1 : 60 * number)));
+            }
+            for (Future<String> life : lives) {
+                String all = life.get();
+                assertFalse(all.contains("Exception"), all);
+                // Before the virtual machine runs any of the program, the system's own way: it ends, and says nothing.
+                assertTrue(all.equals("no connection") || all.matches("(?s).*(told to leave before it listened\nno connection"
+                        + "|drained\n.{8}Status: 5(?s:.*))"), all);
+            }
+        } finally {
+            starts.shutdownNow();
+        }
+    }
+
     /** All that a process writes from its start to its end, without the moments and the port. */
     private static String life(Path dir, String... more) throws Exception {
         Process gateway = serve(Path.of("deploy/example.json"), dir, more);
--- a/src/test/java/tinroad/cli/ServerTest.java
+++ b/src/test/java/tinroad/cli/ServerTest.java
@@ -83,7 +83,7 @@
                 assertEquals("Status: 200 OK", check(address));
                 assertEquals("Status: 200 OK", checkThenGarbage(address));
                 server.leave();
-                server.awaitEnd();
+                server.awaitEnd(() -> null);
                 assertThrows(IOException.class, () -> check(address));
             }
         }
