Begin the lab: real gateway processes between stand-ins and relays, played by a script

Change: tinroad.lab. Scripts in HOCON (the operator file's reader, now CheckedFile, is shared), a plan drawn by seed, engines as a model of shared cores, client proxies, roster, health checks, relays that fail by link and direction, a ledger of every try, rules and measures judged from it.

--- /dev/null
+++ b/src/main/java/tinroad/cli/LabCommand.java
@@ -0,0 +1,178 @@
+package tinroad.cli;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.PrintStream;
+import java.net.URISyntaxException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.stream.Stream;
+import org.kohsuke.args4j.Argument;
+import org.kohsuke.args4j.Option;
+import tinroad.lab.Comparison;
+import tinroad.lab.Lab;
+import tinroad.lab.Report;
+import tinroad.lab.plan.Plan;
+import tinroad.lab.script.Script;
+import tinroad.lab.script.ScriptReader;
+import tinroad.lab.stand.World;
+import tinroad.operator.OperatorException;
+
+/** {@code lab}: plays a fleet of real gateways with faults between them, and judges what became of every request. */
+public final class LabCommand extends Command {
+    /** What the lab is asked for. */
+    enum Act { RUN, COMPARE, LIST }
+
+    private static final String SCRIPTS = "lab";
+    private static final String ENDING = ".conf";
+
+    @Argument(index = 0, metaVar = "run|compare|list", required = true, usage = "play a script, compare two programs by it, or list the scripts that ship")
+    private Act act;
+
+    @Argument(index = 1, metaVar = "SCRIPT", usage = "a file, or the name of a script that ships")
+    private String script;
+
+    @Option(name = "--seed", usage = "decides all that is random")
+    private long seed = 1;
+
+    @Option(name = "--seeds", metaVar = "A..B", usage = "compare: the seeds, from A to B")
+    private String seeds = "1..5";
+
+    @Option(name = "--jar", metaVar = "FILE", usage = "the gateways' program (default: this one); compare: given twice")
+    private List<String> jars = new ArrayList<>();
+
+    @Option(name = "--out", metaVar = "DIR", usage = "where results, charts and the gateways' folders are left (default: nowhere)")
+    private String folder;
+
+    @Option(name = "--output", usage = "table or json")
+    private Output output = Output.TABLE;
+
+    @Override
+    About about() {
+        return new About("plays a fleet of real gateways with faults between them",
+                "tinroad lab run first --seed 3 --out found/first", "0  rules kept", "1  a rule broken, or the fleet did not start",
+                "2  wrong arguments, or a script with faults, a line for each");
+    }
+
+    @Override
+    int run(InputStream in, PrintStream out, PrintStream err) {
+        try {
+            return switch (act) {
+                case LIST -> list(out);
+                case RUN -> play(out, err);
+                case COMPARE -> compare(out, err);
+            };
+        } catch (OperatorException e) {
+            e.faults().forEach(fault -> err.println("tinroad: " + fault));
+            return WRONG;
+        } catch (IllegalArgumentException e) {
+            err.println("tinroad: " + e.getMessage());
+            return WRONG;
+        } catch (IOException e) {
+            err.println("tinroad: " + e.getMessage());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        return FAILED;
+    }
+
+    private int list(PrintStream out) throws IOException, OperatorException {
+        List<List<Object>> rows = new ArrayList<>();
+        try (Stream<Path> files = Files.list(Path.of(SCRIPTS))) {
+            for (Path file : files.filter(f -> f.toString().endsWith(ENDING)).sorted().toList()) {
+                Script s = ScriptReader.read(file);
+                rows.add(List.of(file.getFileName().toString().replace(ENDING, ""), s.fleet().gateways(), s.length() / 1000, s.title()));
+            }
+        }
+        output.print(List.of("script", "gateways", "seconds", "title"), rows, out);
+        return FINE;
+    }
+
+    private Script script() throws OperatorException {
+        if (script == null) {
+            throw new IllegalArgumentException("lab " + act.name().toLowerCase(Locale.ROOT) + " needs a SCRIPT ('tinroad help lab' tells more)");
+        }
+        Path shipped = Path.of(SCRIPTS, script + ENDING);
+        return ScriptReader.read(!script.contains("/") && Files.exists(shipped) ? shipped : Path.of(script));
+    }
+
+    private static String self() {
+        try {
+            return Path.of(LabCommand.class.getProtectionDomain().getCodeSource().getLocation().toURI()).toString();
+        } catch (URISyntaxException e) {
+            // Can't happen: it is the address of a file.
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private Report once(Script played, long number, String jar, Path left, PrintStream progress) throws IOException, InterruptedException {
+        Path work = left == null ? Files.createTempDirectory("tinroad-lab") : left;
+        try (Lab lab = new Lab(Plan.of(played, number), new Lab.Options(jar, work, progress, World.Mutant.NONE))) {
+            Report report = new Report(lab.play());
+            if (left != null) {
+                report.write(left);
+            }
+            return report;
+        } finally {
+            if (left == null) {
+                try (Stream<Path> all = Files.walk(work)) {
+                    all.sorted(Comparator.reverseOrder()).forEach(p -> p.toFile().delete());
+                }
+            }
+        }
+    }
+
+    private int play(PrintStream out, PrintStream err) throws IOException, InterruptedException, OperatorException {
+        Report report = once(script(), seed, jars.isEmpty() ? self() : jars.get(0), folder == null ? null : Path.of(folder), err);
+        if (output == Output.JSON) {
+            out.println(report.line());
+        } else {
+            List<List<Object>> rows = new ArrayList<>();
+            report.figures().forEach((name, value) -> rows.add(List.of(name, text(value))));
+            output.print(List.of("figure", "value"), rows, out);
+        }
+        if (!(boolean) report.figures().get("counts")) {
+            err.println("tinroad: the load ran late by " + report.figures().get("late_p99_ms") + " ms: this run does not count");
+        }
+        report.broken().stream().limit(5).forEach(b -> {
+            err.println("broken: " + b.rule() + ": " + b.what());
+            b.way().forEach(err::println);
+        });
+        out.println(report.fates());
+        return report.broken().isEmpty() ? FINE : FAILED;
+    }
+
+    private static String text(Object value) {
+        return value instanceof Double d && !Double.isFinite(d) ? Double.isNaN(d) ? "-" : "never" : value.toString();
+    }
+
+    private int compare(PrintStream out, PrintStream err) throws IOException, InterruptedException, OperatorException {
+        if (jars.size() != 2 || !seeds.matches("\\d{1,6}\\.\\.\\d{1,6}")) {
+            throw new IllegalArgumentException("compare needs --jar twice, and --seeds as A..B");
+        }
+        Script played = script();
+        Comparison comparison = new Comparison();
+        long broken = 0;
+        int from = Integer.parseInt(seeds.replaceAll("\\..*", ""));
+        int to = Integer.parseInt(seeds.replaceAll(".*\\.", ""));
+        for (int number = from; number <= to; number++) {
+            Map<String, Report> both = new LinkedHashMap<>();
+            for (String jar : jars) {
+                Report report = once(played, number, jar, null, null);
+                broken += report.broken().size();
+                both.put(both.isEmpty() ? "a" : "b", report);
+                err.println("seed " + number + ", " + jar + ": " + report.fates()
+                        + ((boolean) report.figures().get("counts") ? "" : "; late: does not count"));
+            }
+            comparison.add(both.get("a"), both.get("b"));
+        }
+        output.print(List.of("figure", "first", "second", "low", "high", "pairs", "verdict"), comparison.rows(), out);
+        return broken == 0 ? FINE : FAILED;
+    }
+}
--- a/src/main/java/tinroad/cli/Usage.java
+++ b/src/main/java/tinroad/cli/Usage.java
@@ -59,7 +59,7 @@
                   local word="${COMP_WORDS[COMP_CWORD]}" before="${COMP_WORDS[COMP_CWORD-1]}" words=""
                   COMPREPLY=()
                   case "$before" in
-                    --config|--operator) COMPREPLY=($(compgen -f -- "$word")); return ;;
+                    --config|--operator|--jar|--out) COMPREPLY=($(compgen -f -- "$word")); return ;;
                     --output) COMPREPLY=($(compgen -W "table json" -- "$word")); return ;;
                   esac
                   if [ "$COMP_CWORD" -eq 1 ]; then
@@ -80,6 +80,7 @@
         String own = String.join(" ", options(name));
         return switch (name) {
             case "help" -> names + " " + own;
+            case "lab" -> "run compare list " + own;
             case "completion" -> "bash zsh " + own;
             default -> own;
         };
--- /dev/null
+++ b/src/main/java/tinroad/lab/Report.java
@@ -0,0 +1,150 @@
+package tinroad.lab;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import org.HdrHistogram.Histogram;
+import tinroad.lab.plan.Hit;
+import tinroad.lab.plan.Plan;
+import tinroad.lab.script.Script;
+import tinroad.lab.truth.Ledger;
+import tinroad.lab.truth.Measures;
+import tinroad.lab.truth.Rules;
+
+/** What is told of a run: figures by name, the broken rules, files and charts. */
+public final class Report {
+    /** The figures that programs are compared by; of all but the first, less is better. */
+    static final List<String> COMPARED = List.of("service", "to_full_s", "tries_per_first", "wasted", "peak_over_mean");
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final double[] QUANTILES = {50, 99};
+
+    private final Lab.Outcome outcome;
+    private final Plan plan;
+    private final Measures measures;
+    private final List<Rules.Broken> broken;
+    private final Rules.Fates fates;
+    private final Map<String, Object> figures = new LinkedHashMap<>();
+
+    /** The report of this run. */
+    public Report(Lab.Outcome outcome) {
+        this.outcome = outcome;
+        plan = outcome.ledger().plan;
+        measures = new Measures(outcome.ledger());
+        broken = Rules.judge(outcome.ledger());
+        fates = Rules.fates(outcome.ledger(), broken);
+        fill();
+    }
+
+    private void fill() {
+        Script script = plan.script();
+        Ledger ledger = outcome.ledger();
+        double from = Double.isNaN(plan.firstFault()) ? script.settle() : plan.firstFault();
+        double to = Double.isNaN(ledger.faultEnd) ? script.length() : Math.min(script.length(), ledger.faultEnd);
+        put("seed", plan.seed());
+        put("plan", plan.digest());
+        put("service", measures.service(script.settle(), script.length()));
+        put("service_before", measures.before());
+        put("service_fault", measures.service(from, to));
+        put("service_after", measures.service(to, script.length()));
+        put("to_full_s", measures.toFullService() / 1000);
+        put("tries_per_first", measures.triesPerFirst());
+        put("peak_over_mean", measures.peakOverMean());
+        put("wasted", measures.wasted());
+        for (int k = 0; k < script.classes().size(); k++) {
+            Histogram latency = measures.latency(k);
+            for (double q : QUANTILES) {
+                put(script.classes().get(k).name() + "_p" + Math.round(q) + "_ms", latency.getValueAtPercentile(q) / 1000.0);
+            }
+        }
+        put("checks_s_gateway", measures.mean(Ledger.Count.CHECKS, script.settle(), script.length()));
+        put("checks_s_fleet_most", (double) measures.most(Ledger.Count.CHECKS, script.settle(), script.length())[1]);
+        put("connections_s_gateway_most", (double) measures.most(Ledger.Count.CONNECTIONS, script.settle(), script.length())[0]);
+        put("runs_s_gateway_fault", measures.mean(Ledger.Count.RUNS, from, to));
+        put("memory_mb", ledger.lives.stream().mapToDouble(l -> l.mostMemoryMb).max().orElse(0));
+        put("late_p99_ms", outcome.late());
+        put("cpu_left", outcome.cpuLeft());
+        put("counts", outcome.counts());
+        put("broken", (long) broken.size());
+    }
+
+    private void put(String name, Object value) {
+        figures.put(name, value instanceof Double d ? Double.isFinite(d) ? (Object) (Math.round(d * 1e4) / 1e4) : d : value);
+    }
+
+    /** All figures by name: a number, a text or a truth value; NaN where there is none, infinite where it never came. */
+    public Map<String, Object> figures() {
+        return figures;
+    }
+
+    /** A figure that is a number. */
+    public double figure(String name) {
+        return ((Number) figures.get(name)).doubleValue();
+    }
+
+    /** What is broken. */
+    public List<Rules.Broken> broken() {
+        return broken;
+    }
+
+    /** The last line. */
+    public Rules.Fates fates() {
+        return fates;
+    }
+
+    /** The figures as one object on one line. */
+    public String line() {
+        ObjectNode line = JSON.createObjectNode();
+        line.put("title", plan.script().title());
+        figures.forEach((name, value) -> {
+            if (value instanceof Double d && !Double.isFinite(d)) {
+                line.put(name, Double.isNaN(d) ? null : "never");
+            } else {
+                line.putPOJO(name, value);
+            }
+        });
+        ObjectNode f = line.putObject("fates").put("asked", fates.asked()).put("served", fates.served())
+                .put("refused", fates.refused()).put("failed", fates.failed());
+        f.put("lost", fates.lost()).put("twice", fates.twice()).put("wrong", fates.wrong());
+        return line.toString();
+    }
+
+    /** Writes result, windows, faults, the ways of what is broken, and charts into a folder. */
+    public void write(Path folder) throws IOException {
+        Files.createDirectories(folder);
+        Files.writeString(folder.resolve("result.jsonl"), line() + "\n");
+        try (PrintWriter out = new PrintWriter(Files.newBufferedWriter(folder.resolve("windows.jsonl")))) {
+            double[] asked = measures.asked();
+            double[] served = measures.served();
+            int[] tries = measures.arrivals(0, plan.script().length());
+            int bins = (int) (Measures.WINDOW / Measures.BIN);
+            for (int w = 0; w < asked.length; w++) {
+                int sent = 0;
+                for (int b = w * bins; b < Math.min(tries.length, (w + 1) * bins); b++) {
+                    sent += tries[b];
+                }
+                out.println(JSON.createObjectNode().put("at_ms", w * Measures.WINDOW).put("asked", asked[w]).put("served", served[w])
+                        .put("tries", sent));
+            }
+        }
+        try (PrintWriter out = new PrintWriter(Files.newBufferedWriter(folder.resolve("faults.jsonl")))) {
+            for (Hit h : plan.hits()) {
+                out.println(JSON.createObjectNode().put("at_ms", h.at()).put("until_ms", h.until()).put("gateway", h.gateway())
+                        .put("do", h.trouble().deed().name().toLowerCase(Locale.ROOT)).put("heard", h.heard()));
+            }
+        }
+        try (PrintWriter out = new PrintWriter(Files.newBufferedWriter(folder.resolve("broken.txt")))) {
+            for (Rules.Broken b : broken) {
+                out.println(b.rule() + ": " + b.what());
+                b.way().forEach(out::println);
+            }
+        }
+        Charts.draw(plan, measures, outcome.ledger().faultEnd, folder);
+    }
+}
--- /dev/null
+++ b/src/main/java/tinroad/lab/plan/Asked.java
@@ -0,0 +1,14 @@
+package tinroad.lab.plan;
+
+/**
+ * A request, as its first caller has it; all tries of it carry the same.
+ *
+ * @param number counted from 0, in the order of their times
+ * @param at ms from the beginning of the load
+ * @param kind number of the class
+ * @param work ms of a core at speed 1 that a run of it takes
+ * @param proxy that it comes to
+ * @param memoryKb booked for it
+ */
+public record Asked(int number, double at, int kind, int member, int subject, double work, int proxy, double rank,
+        double memoryKb, int bodyBytes) { }
--- /dev/null
+++ b/src/main/java/tinroad/lab/stand/RosterStand.java
@@ -0,0 +1,97 @@
+package tinroad.lab.stand;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DatagramPacket;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.apache.commons.rng.UniformRandomProvider;
+import tinroad.lab.plan.Draw;
+import tinroad.lab.script.Script;
+
+/** The roster: hears reports over UDP, and has its news reach each proxy late. */
+public final class RosterStand {
+    private static final double LOOK_MS = 50;
+    private static final String WORD = "HERE";
+
+    private final World world;
+    private final List<ProxyStand> proxies;
+    private final RosterList list;
+    private final UniformRandomProvider random;
+    private final boolean[] told;
+
+    /** A roster on which all gateways stand, each up to now. */
+    public RosterStand(World world, List<ProxyStand> proxies) {
+        this.world = world;
+        this.proxies = proxies;
+        Script script = world.plan.script();
+        list = new RosterList(script.fleet().gateways(), script.roster().lapse());
+        random = Draw.stream(world.plan.seed(), "roster");
+        told = new boolean[script.fleet().gateways()];
+        for (int g = 0; g < told.length; g++) {
+            told[g] = true;
+            list.engineUp(g, world.now());
+        }
+    }
+
+    /** Hears reports; blocks until it does. */
+    public void listen(InetSocketAddress at) throws InterruptedException {
+        new Bootstrap().group(world.loop).channel(NioDatagramChannel.class).handler(new SimpleChannelInboundHandler<DatagramPacket>() {
+            @Override
+            protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
+                String[] words = packet.content().toString(StandardCharsets.US_ASCII).split(" ");
+                int gateway = words.length == 3 && words[0].equals(WORD) && words[1].matches("g\\d{1,2}")
+                        ? Integer.parseInt(words[1].substring(1)) : told.length;
+                if (gateway < told.length) {
+                    list.heard(gateway, words[2].equals("on"), world.now());
+                } else {
+                    world.ledger.strange.add("the roster was told: " + String.join(" ", words));
+                }
+            }
+
+            @Override
+            public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) { }
+        }).bind(at).sync();
+    }
+
+    /** Looks for changes from now on. */
+    public void begin() {
+        list.expire(world.now());
+        Script.Roster late = world.plan.script().roster();
+        for (int g = 0; g < told.length; g++) {
+            if (list.takes(g) != told[g]) {
+                told[g] = list.takes(g);
+                int gateway = g;
+                boolean takes = told[g];
+                for (ProxyStand proxy : proxies) {
+                    double after = late.lateLeast() + random.nextDouble() * (late.lateMost() - late.lateLeast());
+                    world.agenda.at(world.now() + after, () -> proxy.listed(gateway, takes));
+                }
+            }
+        }
+        world.agenda.at(world.now() + LOOK_MS, this::begin);
+    }
+
+    /** An engine came up. */
+    public void engineUp(int gateway) {
+        list.engineUp(gateway, world.now());
+    }
+
+    /** The roster is down, or back. */
+    public void down(boolean down) {
+        list.down(down, world.now());
+    }
+
+    /** Whether all gateways are listed as taking work. */
+    public boolean all() {
+        for (int g = 0; g < told.length; g++) {
+            if (!list.takes(g)) {
+                return false;
+            }
+        }
+        return true;
+    }
+}
--- /dev/null
+++ b/src/main/java/tinroad/lab/stand/World.java
@@ -0,0 +1,89 @@
+package tinroad.lab.stand;
+
+import io.netty.channel.EventLoop;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.DoubleSupplier;
+import tinroad.lab.plan.Plan;
+import tinroad.lab.truth.Ledger;
+import tinroad.lab.truth.Try;
+
+/** What the stand-ins of a run share: one event loop owns it and all of them. */
+public final class World {
+    /** A stand-in that does wrong, for tests of the checker. */
+    public enum Mutant { NONE, ENGINE_RUNS_TWICE, CALLER_REPEATS_UNPROVEN, RELAY_CHANGES_A_BYTE }
+
+    final EventLoop loop;
+    final Plan plan;
+    final Ledger ledger;
+    final Agenda agenda;
+    final Mutant mutant;
+    final Map<String, Try> byId = new HashMap<>();
+    private final DoubleSupplier clock;
+    private double unixAtZero;
+    private final EngineStand[] engines;
+    private final int[] life;
+    private final int[] connections;
+
+    /** A world whose time {@code clock} is in ms from the beginning of the load. */
+    public World(EventLoop loop, Ledger ledger, Agenda agenda, Mutant mutant, DoubleSupplier clock) {
+        this.loop = loop;
+        this.ledger = ledger;
+        this.plan = ledger.plan;
+        this.agenda = agenda;
+        this.mutant = mutant;
+        this.clock = clock;
+        int n = plan.script().fleet().gateways();
+        engines = new EngineStand[n];
+        life = new int[n];
+        connections = new int[n];
+    }
+
+    /** Time, in ms from the beginning of the load. */
+    public double now() {
+        return clock.getAsDouble();
+    }
+
+    /** The load begins at this Unix time, in ms. */
+    public void begins(double unix) {
+        unixAtZero = unix;
+    }
+
+    /** Unix time of the beginning of the load, in ms. */
+    public double unixAtZero() {
+        return unixAtZero;
+    }
+
+    long unix(double at) {
+        return Math.round(unixAtZero + at);
+    }
+
+    void engine(int gateway, EngineStand engine) {
+        engines[gateway] = engine;
+    }
+
+    /** The engine of a gateway. */
+    public EngineStand engine(int gateway) {
+        return engines[gateway];
+    }
+
+    /** Another process of this gateway begins. */
+    public void lives(int gateway, int number) {
+        life[gateway] = number;
+    }
+
+    int life(int gateway) {
+        return life[gateway];
+    }
+
+    void connections(int gateway, int change) {
+        connections[gateway] += change;
+        if (change > 0) {
+            ledger.count(Ledger.Count.CONNECTIONS, gateway, now());
+        }
+    }
+
+    int connections(int gateway) {
+        return connections[gateway];
+    }
+}
--- /dev/null
+++ b/src/main/java/tinroad/lab/truth/Ledger.java
@@ -0,0 +1,91 @@
+package tinroad.lab.truth;
+
+import java.util.ArrayList;
+import java.util.List;
+import tinroad.lab.plan.Asked;
+import tinroad.lab.plan.Plan;
+
+/** Everything that was seen at the ends, as it came. Filled by one thread; times in ms from the beginning of the load. */
+public final class Ledger {
+    /** What became of a request, over all its tries. */
+    public static final class Fate {
+        public final Asked asked;
+        public int tries;
+        public Try.End end;
+        public double endedAt = Double.NaN;
+
+        Fate(Asked asked) {
+            this.asked = asked;
+        }
+    }
+
+    /** A time in which the script keeps a gateway from answering: its connections may break, its answers be late. */
+    public record Excuse(int gateway, double from, double to) { }
+
+    /** One life of a gateway's process; {@code exit} is -1 while it lives. */
+    public static final class Life {
+        public final int gateway;
+        public final int number;
+        public final double startedAt;
+        public double noticedAt = Double.NaN;
+        public double endedAt = Double.NaN;
+        public int exit = -1;
+        /** The script ended it, or told it to end. */
+        public boolean told;
+        public double mostMemoryMb;
+        public int mostDescriptors;
+
+        Life(int gateway, int number, double startedAt) {
+            this.gateway = gateway;
+            this.number = number;
+            this.startedAt = startedAt;
+        }
+    }
+
+    /** Something counted by gateway and second. */
+    public enum Count { CHECKS, CONNECTIONS, RUNS }
+
+    public final Plan plan;
+    public final List<Fate> fates;
+    public final List<Try> tries = new ArrayList<>();
+    public final List<Excuse> excuses = new ArrayList<>();
+    public final List<Life> lives = new ArrayList<>();
+    /** Remarks on the gateways from their logs and ends, for the way of a request. */
+    public final List<Try.Step> events = new ArrayList<>();
+    /** The lab's own late moments: from, to. */
+    public final List<double[]> stalls = new ArrayList<>();
+    /** What did not fit any request: bytes that no try owns, broken lines, unknown ids. */
+    public final List<String> strange = new ArrayList<>();
+    public double engineWork;
+    /** When the last fault ended; NaN without any. */
+    public double faultEnd = Double.NaN;
+    private final int[][][] counts;
+
+    /** An empty ledger of this plan. */
+    public Ledger(Plan plan) {
+        this.plan = plan;
+        fates = plan.requests().stream().map(Fate::new).toList();
+        counts = new int[Count.values().length][plan.script().fleet().gateways()][(int) (plan.script().length() / 1000) + 61];
+    }
+
+    /** Another life of a gateway. */
+    public Life begins(int gateway, double at) {
+        Life life = new Life(gateway, (int) lives.stream().filter(l -> l.gateway == gateway).count(), at);
+        lives.add(life);
+        return life;
+    }
+
+    /** Counts one more. */
+    public void count(Count what, int gateway, double at) {
+        int[] seconds = counts[what.ordinal()][gateway];
+        if (at >= 0 && at < 1000.0 * seconds.length) {
+            seconds[(int) (at / 1000)]++;
+        }
+    }
+
+    /** How many in this second. */
+    public int counted(Count what, int gateway, int second) {
+        int[] seconds = counts[what.ordinal()][gateway];
+        return second >= 0 && second < seconds.length ? seconds[second] : 0;
+    }
+}
--- a/src/main/java/tinroad/operator/OperatorReader.java
+++ b/src/main/java/tinroad/operator/CheckedFile.java
@@ -20,24 +20,38 @@
 import java.io.InputStream;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
-import java.util.concurrent.TimeUnit;
 import java.util.stream.StreamSupport;
 
-/** Reads one operator file: text to values, values against the schema, values to {@link Operator}. */
-final class OperatorReader {
+/**
+ * Reads one HOCON file of the operators': text to values, values against a JSON Schema, what is left out from defaults.
+ * All faults are told at once, each with its file and line.
+ */
+public final class CheckedFile {
     private static final String DIALECT = "https://json-schema.org/draft/2020-12/schema";
     private final Path file;
-    private final Schema schema = schema();
+    private final Schema schema;
     private final List<Fault> faults = new ArrayList<>();
 
-    OperatorReader(Path file) {
+    private CheckedFile(Path file, Schema schema) {
         this.file = file;
+        this.schema = schema;
     }
 
-    Operator read() throws OperatorException {
+    /**
+     * The settings in {@code file}. {@code schema.json} and {@code defaults.conf} stand beside the class {@code at}; the
+     * defaults may hold more than the schema lets a file hold.
+     */
+    public static Config read(Path file, Class<?> at) throws OperatorException {
+        return new CheckedFile(file, schema(at)).read(ConfigFactory.parseResources(at, "defaults.conf"));
+    }
+
+    /** A fault of a value that the schema lets pass, where it stands. */
+    public static Fault fault(ConfigValue value, String key, String text) {
+        return new Fault(Sources.file(value.origin().description()), Math.max(1, value.origin().lineNumber()), key, text);
+    }
+
+    private Config read(Config defaults) throws OperatorException {
         Sources sources = new Sources();
         ConfigObject root = sources.first(file);
         faults.addAll(sources.faults());
@@ -46,7 +60,7 @@
                 Config config = root.toConfig().resolve(ConfigResolveOptions.noSystem());
                 check(config.root());
                 if (faults.isEmpty()) {
-                    return operator(config.withFallback(ConfigFactory.parseResources(OperatorReader.class, "defaults.conf")));
+                    return config.withFallback(defaults);
                 }
             } catch (ConfigException e) {
                 faults.add(Sources.fault(file.toString(), e));
@@ -55,17 +69,9 @@
         throw new OperatorException(faults.stream().distinct().sorted().toList());
     }
 
-    private static Operator operator(Config config) {
-        Config log = config.getConfig("log");
-        Map<String, String> levels = new HashMap<>();
-        log.getConfig("levels").root().forEach((name, level) -> levels.put(name, level.unwrapped().toString()));
-        return new Operator(new LogSettings(log.getString("format").equals("json"), log.getString("level"),
-                Map.copyOf(levels), log.getInt("queue"), log.getDuration("flush", TimeUnit.NANOSECONDS) / 1e6));
-    }
-
-    private static Schema schema() {
+    private static Schema schema(Class<?> at) {
         Dialect dialect = Dialect.builder(DIALECT, Dialects.getDraft202012()).keyword(new Quantity()).build();
-        InputStream in = OperatorReader.class.getResourceAsStream("schema.json");
+        InputStream in = at.getResourceAsStream("schema.json");
         return SchemaRegistry.withDialect(dialect).getSchema(in, InputFormat.JSON);
     }
 
@@ -81,8 +87,7 @@
             for (int known = path.size() - 1; at == null; known--) {
                 at = value(root, path.subList(0, known));
             }
-            faults.add(new Fault(Sources.file(at.origin().description()), Math.max(1, at.origin().lineNumber()),
-                    path.isEmpty() ? "" : ConfigUtil.joinPath(path), text(error, at)));
+            faults.add(fault(at, path.isEmpty() ? "" : ConfigUtil.joinPath(path), text(error, at)));
         }
     }
 
@@ -115,6 +120,8 @@
                     StreamSupport.stream(word.spliterator(), false).map(JsonNode::asText).toList());
             case "minimum" -> "must be " + word.asText() + " or more";
             case "maximum" -> "must be " + word.asText() + " or less";
+            case "required" -> "must have " + error.getProperty();
+            case "minItems" -> "must have " + word.asText() + " or more";
             case "type" -> "must be " + (word.asText().matches("[aeiou].*") ? "an " : "a ") + word.asText();
             default -> error.getMessage();
         };
--- a/src/main/java/tinroad/operator/OperatorException.java
+++ b/src/main/java/tinroad/operator/OperatorException.java
@@ -8,7 +8,8 @@
 
     private final transient List<Fault> faults;
 
-    OperatorException(List<Fault> faults) {
+    /** At least one fault. */
+    public OperatorException(List<Fault> faults) {
         super(faults.get(0) + (faults.size() > 1 ? " (and " + (faults.size() - 1) + " more)" : ""));
         this.faults = List.copyOf(faults);
     }
