--- a/src/main/java/tinroad/lab/Lab.java
+++ b/src/main/java/tinroad/lab/Lab.java
@@ -345,6 +345,7 @@
         for (Hit hit : plan.hits()) {
             agenda.at(hit.at(), () -> begin(hit));
         }
+        script.load().jumps().forEach(j -> agenda.at(j.at() + j.length(), () -> ended(now())));
     }
 
     private void tick() {
@@ -402,7 +403,7 @@
 
     private void write(Member m, boolean cold) throws IOException {
         Files.createDirectories(m.folder);
-        ObjectNode c = JSON.createObjectNode().put("name", "g" + m.number)
+        ObjectNode c = JSON.createObjectNode().put("name", "g" + (script.fleet().sameName().contains(m.number) ? 0 : m.number))
                 .put("listen", net + host(m.number) + ":" + GATEWAY_PORT)
                 .put("engine", net + host(m.number) + ":" + m.enginePort)
                 .put("roster", net + host(m.number) + ":" + ROSTER_PORT)
--- a/src/main/java/tinroad/lab/plan/Plan.java
+++ b/src/main/java/tinroad/lab/plan/Plan.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.function.DoubleSupplier;
 import java.util.function.IntSupplier;
+import java.util.stream.DoubleStream;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.sampling.ListSampler;
 import org.apache.commons.rng.sampling.distribution.ContinuousSampler;
@@ -19,6 +20,7 @@
 import tinroad.lab.script.Script;
 import tinroad.lab.script.Script.Crowd;
 import tinroad.lab.script.Script.Deed;
+import tinroad.lab.script.Script.Jump;
 import tinroad.lab.script.Script.Kind;
 import tinroad.lab.script.Script.Law;
 import tinroad.lab.script.Script.Trouble;
@@ -72,14 +74,10 @@
         return number % script.fleet().zones();
     }
 
-    /** When the first fault begins; NaN without any. */
+    /** When the first fault or jump of the load begins; NaN without any. */
     public double firstFault() {
-        return hits.stream().mapToDouble(Hit::at).min().orElse(Double.NaN);
-    }
-
-    /** When the last fault is over, so far as the plan knows; NaN without any. */
-    public double lastFault() {
-        return hits.stream().mapToDouble(Hit::until).max().orElse(Double.NaN);
+        return DoubleStream.concat(hits.stream().mapToDouble(Hit::at), script.load().jumps().stream().mapToDouble(Jump::at))
+                .min().orElse(Double.NaN);
     }
 
     /** Mean work of a request, in ms. */
--- a/src/main/java/tinroad/lab/script/Script.java
+++ b/src/main/java/tinroad/lab/script/Script.java
@@ -21,8 +21,10 @@
      * @param memoryMb a gateway's limit
      * @param sockets a gateway's limit of descriptors
      * @param stop time from the notice to the kill
+     * @param sameName gateways that bear the name of gateway 0, by mistake
      */
-    public record Fleet(int gateways, int zones, int cores, List<Double> speeds, int memoryMb, int sockets, double stop) {
+    public record Fleet(int gateways, int zones, int cores, List<Double> speeds, int memoryMb, int sockets, double stop,
+            List<Integer> sameName) {
         /** What all cores can do, in ms of work a ms. */
         public double power() {
             double sum = 0;
--- a/src/main/java/tinroad/lab/script/ScriptReader.java
+++ b/src/main/java/tinroad/lab/script/ScriptReader.java
@@ -65,7 +65,7 @@
 
     private static Fleet fleet(Config c) {
         return new Fleet(c.getInt("gateways"), c.getInt("zones"), c.getInt("cores"), c.getDoubleList("speeds"),
-                c.getInt("memory-mb"), c.getInt("sockets"), ms(c, "stop"));
+                c.getInt("memory-mb"), c.getInt("sockets"), ms(c, "stop"), c.getIntList("same-name"));
     }
 
     private static Work work(Config c) {
@@ -120,6 +120,9 @@
         if (s.fleet().zones() > s.fleet().gateways()) {
             wrong("fleet.zones", "must be no more than fleet.gateways");
         }
+        if (s.fleet().sameName().stream().anyMatch(g -> g >= s.fleet().gateways())) {
+            wrong("fleet.same-name", "must be from 0 to " + (s.fleet().gateways() - 1));
+        }
         if (s.roster().lateLeast() > s.roster().lateMost()) {
             wrong("roster.late-least", "must be no more than late-most");
         }
@@ -145,8 +148,8 @@
         if (t.gateways().stream().anyMatch(g -> g >= s.fleet().gateways())) {
             wrong("faults", i, "gateways", "must be from 0 to " + (s.fleet().gateways() - 1));
         }
-        if (t.zone() >= s.fleet().zones()) {
-            wrong("faults", i, "zone", "must be from 0 to " + (s.fleet().zones() - 1));
+        if (Math.max(t.zone(), t.callersZone()) >= s.fleet().zones()) {
+            wrong("faults", i, t.zone() >= s.fleet().zones() ? "zone" : "callers-zone", "must be from 0 to " + (s.fleet().zones() - 1));
         }
         if (t.backLeast() > t.backMost()) {
             wrong("faults", i, "back-least", "must be no more than back-most");
--- a/src/main/java/tinroad/lab/stand/RosterStand.java
+++ b/src/main/java/tinroad/lab/stand/RosterStand.java
@@ -84,14 +84,4 @@
     public void down(boolean down) {
         list.down(down, world.now());
     }
-
-    /** Whether all gateways are listed as taking work. */
-    public boolean all() {
-        for (int g = 0; g < told.length; g++) {
-            if (!list.takes(g)) {
-                return false;
-            }
-        }
-        return true;
-    }
 }
--- /dev/null
+++ b/src/test/java/tinroad/lab/plan/PlanTest.java
@@ -0,0 +1,80 @@
+package tinroad.lab.plan;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import tinroad.lab.script.Script;
+import tinroad.lab.script.ScriptReader;
+
+/** What a script and a seed come to. */
+class PlanTest {
+    @TempDir
+    private Path dir;
+
+    private Script script(String text) throws Exception {
+        return ScriptReader.read(Files.writeString(dir.resolve("s.conf"), text));
+    }
+
+    @Test
+    void theSameScriptAndSeedGiveTheSamePlanAndAnotherSeedAnother() throws Exception {
+        Script s = ScriptReader.read(Path.of("lab/mass-restart.conf"));
+        assertEquals(Plan.of(s, 3).digest(), Plan.of(s, 3).digest());
+        assertEquals(Plan.of(s, 3).requests(), Plan.of(s, 3).requests());
+        assertEquals(Plan.of(s, 3).hits(), Plan.of(s, 3).hits());
+        assertNotEquals(Plan.of(s, 3).digest(), Plan.of(s, 4).digest());
+    }
+
+    @Test
+    void aFaultMoreLeavesTheRequestsAsTheyWere() throws Exception {
+        List<Asked> before = Plan.of(script("length = 20s"), 5).requests();
+        assertEquals(before, Plan.of(script("faults = [ { do = kill, at = 8s } ]"), 5).requests());
+    }
+
+    @Test
+    void theLoadIsTheShareOfTheCoresThatWasAskedFor() throws Exception {
+        Plan plan = Plan.of(script("length = 60s, load { level = 0.5, jumps = [ { at = 20s, for = 10s, level = 1.5 } ] }"), 1);
+        double calm = plan.requests().stream().filter(r -> r.at() < 20_000).mapToDouble(Asked::work).sum();
+        double jump = plan.requests().stream().filter(r -> r.at() >= 20_000 && r.at() < 30_000).mapToDouble(Asked::work).sum();
+        assertEquals(0.5, calm / 20_000 / 6, 0.04);
+        assertEquals(1.5, jump / 10_000 / 6, 0.09);
+        assertEquals(0.2, (double) plan.requests().stream().filter(r -> r.kind() == 1).count() / plan.requests().size(), 0.03);
+    }
+
+    @Test
+    void membersAndSubjectsComeInUnequalParts() throws Exception {
+        List<Asked> all = Plan.of(script("length = 60s, members { count = 4, skew = 1 }, subjects { count = 100, skew = 0 }"), 1).requests();
+        // The harmonic numbers: 12 of 25 are the first one's.
+        assertEquals(0.48, (double) all.stream().filter(r -> r.member() == 0).count() / all.size(), 0.03);
+        assertEquals(0.12, (double) all.stream().filter(r -> r.member() == 3).count() / all.size(), 0.02);
+        assertTrue(all.stream().mapToInt(Asked::subject).distinct().count() > 95);
+    }
+
+    @Test
+    void faultsHitTheShareThatWasAskedForOfTheirZone() throws Exception {
+        Plan plan = Plan.of(script("fleet { gateways = 20, zones = 4 }\nfaults = [\n"
+                + "{ do = kill, at = 5s, within = 1s, share = 0.7, back-least = 3s, back-most = 8s }\n"
+                + "{ do = stop, at = 9s, for = 2s, zone = 3, share = 0.4 }\n"
+                + "{ do = engine-move, at = 12s, gateways = [1, 2, 3], missed = 0.34 }\n"
+                + "{ do = roster-down, at = 1s, for = 15s } ]"), 2);
+        List<Hit> killed = plan.hits().stream().filter(h -> h.fault() == 0).toList();
+        assertEquals(14, killed.size());
+        Set<Integer> targets = new HashSet<>();
+        killed.forEach(h -> {
+            assertTrue(targets.add(h.gateway()) && h.at() >= 5000 && h.at() <= 6000 && h.away() >= 3000 && h.away() <= 8000, h::toString);
+        });
+        List<Hit> stopped = plan.hits().stream().filter(h -> h.fault() == 1).toList();
+        assertEquals(2, stopped.size());
+        stopped.forEach(h -> assertTrue(plan.zone(h.gateway()) == 3 && h.until() == 11_000, h::toString));
+        assertEquals(1, plan.hits().stream().filter(h -> h.fault() == 2 && !h.heard()).count());
+        assertEquals(new Hit(1000, 16_000, -1, 0, true, 3, plan.script().faults().get(3)), plan.hits().get(0));
+        assertEquals(1000, plan.firstFault());
+    }
+}
--- /dev/null
+++ b/src/test/java/tinroad/lab/truth/MeasuresTest.java
@@ -0,0 +1,89 @@
+package tinroad.lab.truth;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import tinroad.lab.plan.Draw;
+import tinroad.lab.plan.Plan;
+import tinroad.lab.script.ScriptReader;
+
+/** Figures of days that were made up, so that they are known beforehand. */
+class MeasuresTest {
+    private final Ledger ledger;
+
+    MeasuresTest() throws Exception {
+        ledger = new Ledger(Plan.of(ScriptReader.read(Path.of("lab/mass-restart.conf")), 1));
+        ledger.fates.forEach(f -> {
+            f.tries = 1;
+            f.end = Try.End.SERVED;
+            f.endedAt = f.asked.at() + 40;
+        });
+    }
+
+    private void down(double from, double to) {
+        ledger.fates.stream().filter(f -> f.asked.at() >= from && f.asked.at() < to).forEach(f -> f.end = Try.End.REFUSED);
+    }
+
+    @Test
+    void fullServiceComesWithTheFirstThreeSecondsThatHoldIt() {
+        down(8000, 16_000);
+        ledger.faultEnd = 13_000;
+        assertEquals(1, new Measures(ledger).before());
+        assertEquals(0, new Measures(ledger).service(9000, 15_000));
+        assertEquals(3000, new Measures(ledger).toFullService(), 100);
+        // A relapse after two seconds: it did not come back before.
+        down(18_000, 18_500);
+        assertEquals(5500, new Measures(ledger).toFullService(), 100);
+        down(18_000, 36_000);
+        assertEquals(Double.POSITIVE_INFINITY, new Measures(ledger).toFullService());
+        ledger.faultEnd = Double.NaN;
+        assertTrue(Double.isNaN(new Measures(ledger).toFullService()));
+    }
+
+    @Test
+    void whatIsServedAfterItsAimIsNotService() {
+        ledger.fates.forEach(f -> f.endedAt = f.asked.at() + 2000);
+        // Orders, with an aim of 2.5 s, are worth 3 and a fifth of all; reads had 1.5 s.
+        assertEquals(0.6 / 1.4, new Measures(ledger).service(0, 36_000), 0.03);
+    }
+
+    @Test
+    void aWaveOfTriesShowsAsPeakOverMean() {
+        ledger.faultEnd = 10_000;
+        for (int i = 0; i < 1000; i++) {
+            Try t = new Try("t" + i, 0, 1, 0, 0, true, "", 0);
+            t.sentAt = i < 500 ? 10_000 + 10 * i : 12_001;
+            ledger.tries.add(t);
+        }
+        // 100 bins with 5 each, and 500 more in one of them.
+        assertEquals(50.5, new Measures(ledger).peakOverMean(), 1e-9);
+    }
+
+    @Test
+    void countsAreKeptBySecondAndGateway() {
+        for (int i = 0; i < 30; i++) {
+            ledger.count(Ledger.Count.RUNS, i % 3, 1000 + i * 100);
+        }
+        Measures measures = new Measures(ledger);
+        assertEquals(1.0, measures.mean(Ledger.Count.RUNS, 1000, 4000), 1e-9);
+        assertEquals(10, measures.most(Ledger.Count.RUNS, 0, 5000)[1]);
+        assertEquals(4, measures.most(Ledger.Count.RUNS, 0, 5000)[0]);
+    }
+
+    @Test
+    void pairsTellADifferenceFromNoise() {
+        double[] a = {5, 6, 7, 5.5, 6.5, 5.2, 6.1, 7.2, 5.9, 6.3};
+        double[] better = {3, 4.2, 5.1, 3.4, 4.6, 3.1, 4.0, 5.3, 3.9, 4.4};
+        double[] noise = {5.3, 5.8, 7.4, 5.1, 6.6, 5.0, 6.4, 6.9, 6.2, 6.1};
+        Paired p = Paired.of(a, better, Draw.stream(1, "test"));
+        assertTrue(p.differ() && p.high() < -1.5 && p.low() > -2.5, p::toString);
+        assertFalse(Paired.of(a, noise, Draw.stream(1, "test")).differ());
+        double[] never = a.clone();
+        java.util.Arrays.fill(never, Double.POSITIVE_INFINITY);
+        assertTrue(Paired.of(a, never, Draw.stream(1, "test")).low() > 1e9);
+        assertFalse(Paired.of(never, never, Draw.stream(1, "test")).differ());
+    }
+}
--- /dev/null
+++ b/src/test/java/tinroad/lab/truth/RulesTest.java
@@ -0,0 +1,144 @@
+package tinroad.lab.truth;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Path;
+import java.util.List;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import tinroad.lab.plan.Plan;
+import tinroad.lab.script.ScriptReader;
+import tinroad.lab.truth.Ledger.Excuse;
+import tinroad.lab.truth.Rules.Rule;
+
+/** Each rule: a ledger that keeps it, and one that breaks it. */
+class RulesTest {
+    private Ledger ledger;
+
+    @BeforeEach
+    void empty() throws Exception {
+        ledger = new Ledger(Plan.of(ScriptReader.read(Path.of("lab/first.conf")), 1));
+        ledger.begins(0, -1000);
+    }
+
+    /** A try of a read, sent at 1 s, run and served 50 ms later; due at 4.7 s. */
+    private Try add(String id, int request, boolean free, Consumer<Try> change) {
+        Try t = new Try(id, request, 1, 0, 0, free, free ? "read 7" : null, 4700);
+        t.sentAt = 1000;
+        t.answeredAt = 1050;
+        t.answers = 1;
+        t.answer = Try.End.SERVED;
+        t.end = Try.End.SERVED;
+        t.runs = 1;
+        t.ranAt = 1001;
+        t.result = "made for " + id;
+        t.served = t.result;
+        t.step(1000, "proxy 0", "sent");
+        change.accept(t);
+        ledger.tries.add(t);
+        return t;
+    }
+
+    private void unanswered(Try t) {
+        t.answeredAt = Double.NaN;
+        t.answers = 0;
+        t.answer = null;
+        t.served = null;
+    }
+
+    private void broken(Rule... rules) {
+        assertEquals(List.of(rules), Rules.judge(ledger).stream().map(Rules.Broken::rule).toList());
+    }
+
+    @Test
+    void aServedTryIsFineAndSoIsWhatRepeatsIt() {
+        add("a", 0, true, t -> { });
+        add("b", 1, true, t -> {
+            t.runs = 0;
+            t.result = null;
+            t.served = "made for a";
+        });
+        broken();
+    }
+
+    @Test
+    void aTryWithoutAnAnswerIsLostUnlessTheScriptTookIt() {
+        Try lost = add("a", 0, true, this::unanswered);
+        broken(Rule.LOST);
+        assertTrue(Rules.judge(ledger).get(0).way().get(1).contains("proxy 0: sent"));
+        ledger.excuses.add(new Excuse(1, 0, 9000));
+        broken(Rule.LOST);
+        ledger.excuses.add(new Excuse(0, 3000, 3500));
+        broken();
+        ledger.excuses.clear();
+        lost.brokenAt = 1049;
+        broken();
+        lost.brokenAt = 1051;
+        broken(Rule.LOST);
+        lost.sentAt = Double.NaN;
+        broken();
+    }
+
+    @Test
+    void aLateAnswerIsLostUnlessTheLabStoodStill() {
+        add("a", 0, true, t -> t.answeredAt = 4849);
+        broken();
+        add("b", 1, true, t -> t.answeredAt = 4851);
+        broken(Rule.LOST);
+        ledger.stalls.add(new double[] {2000, 2060});
+        broken();
+    }
+
+    @Test
+    void noIdRunsTwiceAndNoOrderRunsInTwoTries() {
+        add("a", 0, true, t -> t.runs = 2);
+        broken(Rule.TWICE);
+        add("b", 1, false, t -> { });
+        add("c", 1, false, t -> { });
+        broken(Rule.TWICE, Rule.TWICE);
+        add("d", 2, true, t -> { });
+        add("e", 2, true, t -> { });
+        broken(Rule.TWICE, Rule.TWICE);
+        add("f", 3, true, t -> t.answers = 2);
+        broken(Rule.TWICE, Rule.TWICE, Rule.TWICE);
+    }
+
+    @Test
+    void whatNoRunMadeIsWrong() {
+        add("a", 0, true, t -> t.served = "made for z");
+        broken(Rule.WRONG);
+        add("b", 1, false, t -> t.served = "made for a");
+        broken(Rule.WRONG, Rule.WRONG);
+    }
+
+    @Test
+    void whatWasRefusedNeverRan() {
+        add("a", 0, true, t -> t.answer = Try.End.REFUSED);
+        broken(Rule.REFUSED_BUT_RAN);
+    }
+
+    @Test
+    void nothingRunsThatCameLongAfterTheNotice() {
+        ledger.lives.get(0).noticedAt = 1000 - Rules.GRACE;
+        add("a", 0, true, t -> { });
+        broken();
+        ledger.lives.get(0).noticedAt -= 1;
+        broken(Rule.RAN_AFTER_NOTICE);
+    }
+
+    @Test
+    void anEndThatNobodyAskedForIsACrashAndLimitsHold() {
+        ledger.lives.get(0).endedAt = 500;
+        ledger.lives.get(0).exit = 3;
+        broken(Rule.CRASHED);
+        ledger.lives.get(0).told = true;
+        broken();
+        ledger.lives.get(0).mostMemoryMb = 193;
+        broken(Rule.LIMIT);
+        ledger.strange.add("what nobody knows");
+        broken(Rule.LIMIT, Rule.STRANGE);
+        assertTrue(Rules.fates(ledger, Rules.judge(ledger)).toString().endsWith("lost 0, twice 0, wrong 0"));
+    }
+}
