--- a/src/main/java/tinroad/lab/Lab.java
+++ b/src/main/java/tinroad/lab/Lab.java
@@ -333,7 +333,7 @@
         ledger.stalls.clear();
         lastTick = now();
         world.begins(System.currentTimeMillis() - now());
-        members.forEach(m -> m.engine.warm());
+        members.forEach(m -> m.engine.rebased(beginning));
         agenda.at(now(), roster::begin);
         proxies.forEach(p -> agenda.at(now(), p::begin));
         for (Asked asked : plan.requests()) {
--- a/src/main/java/tinroad/lab/Report.java
+++ b/src/main/java/tinroad/lab/Report.java
@@ -72,6 +72,7 @@
         put("cpu_left", outcome.cpuLeft());
         put("counts", outcome.counts());
         put("broken", (long) broken.size());
+        put("excused_tries", (long) Rules.excused(ledger));
     }
 
     private void put(String name, Object value) {
--- a/src/main/java/tinroad/lab/stand/EngineStand.java
+++ b/src/main/java/tinroad/lab/stand/EngineStand.java
@@ -89,9 +89,11 @@
         }
     }
 
-    /** As after an hour under load: what happened before the load is forgotten. */
-    public void warm() {
+    /** What happened before the load is forgotten, but for the start of the engine; time has moved by {@code shift} ms. */
+    public void rebased(double shift) {
+        double since = upSince - shift;
         start(false);
+        upSince = since;
     }
 
     /** The engine's process dies: all runs are lost, and the link. */
@@ -101,7 +103,8 @@
         paused = false;
         running.clear();
         cores.clear();
-        restartNotices();
+        // Numbers go on: each start of the gateway, not of the engine, begins them anew.
+        stored.clear();
         if (link != null) {
             link.close();
             link = null;
--- a/src/main/java/tinroad/lab/truth/Rules.java
+++ b/src/main/java/tinroad/lab/truth/Rules.java
@@ -40,6 +40,7 @@
 
     private final Ledger ledger;
     private final List<Broken> broken = new ArrayList<>();
+    private int excused;
     private final Map<String, Set<String>> results = new HashMap<>();
 
     private Rules(Ledger ledger) {
@@ -51,6 +52,13 @@
         return new Rules(ledger).judge();
     }
 
+    /** How many tries had no answer in time, and are no broken rule as the script took them, or a close crossed them. */
+    public static int excused(Ledger ledger) {
+        Rules rules = new Rules(ledger);
+        rules.judge();
+        return rules.excused;
+    }
+
     /** The count of the fates. */
     public static Fates fates(Ledger ledger, List<Broken> broken) {
         int[] ends = new int[3];
@@ -104,7 +112,12 @@
         double last = Double.isNaN(t.answeredAt) ? t.brokenAt : t.answeredAt;
         boolean crossed = Double.isNaN(t.answeredAt) && t.brokenAt - t.sentAt <= CROSSING;
         boolean intime = !Double.isNaN(t.answeredAt) && t.answeredAt <= t.due + SLACK + stalled(t.sentAt, t.answeredAt);
-        if (!Double.isNaN(t.sentAt) && !intime && !crossed && !excused(t, Double.isNaN(last) ? t.due + SLACK : last)) {
+        if (Double.isNaN(t.sentAt) || intime) {
+            return;
+        }
+        if (crossed || excused(t, Double.isNaN(last) ? t.due + SLACK : last)) {
+            excused++;
+        } else {
             breaks(Rule.LOST, t, Double.isNaN(last) ? "got no answer" : Double.isNaN(t.answeredAt)
                     ? "lost its connection, and the script did not cut it"
                     : "was answered " + Math.round(t.answeredAt - t.due) + " ms after its due time");
--- a/src/test/java/tinroad/lab/truth/RulesTest.java
+++ b/src/test/java/tinroad/lab/truth/RulesTest.java
@@ -70,8 +70,10 @@
         assertTrue(Rules.judge(ledger).get(0).way().get(1).contains("proxy 0: sent"));
         ledger.excuses.add(new Excuse(1, 0, 9000));
         broken(Rule.LOST);
+        assertEquals(0, Rules.excused(ledger));
         ledger.excuses.add(new Excuse(0, 3000, 3500));
         broken();
+        assertEquals(1, Rules.excused(ledger));
         ledger.excuses.clear();
         lost.brokenAt = 1049;
         broken();
