Keep gateways out of step: decorrelated jitter to engine, unequal report gaps; node package

Need: after a common cut or start all gateways of a fleet tried their engines at 1, 2, 4 ... 250 ms and reported every 250 ms, in step with each other (EngineLink.reconnect, RosterReporter.start).

Change: recovery.Reconnects (decorrelated jitter, cap 250 ms, reset by HELLO only, seeded by name and seed) and recovery.Pace (250 ms, a fifth more or less). cli holds commands only: Server, Succession, Rehearsal move to tinroad.node unchanged. In the lab: a relay could let the end of a stream overtake delayed bytes (timers of one moment come in no order); old logs in a folder passed for a fleet that was up; the first random numbers of near seeds were alike.

--- a/src/main/java/tinroad/cli/Check.java
+++ b/src/main/java/tinroad/cli/Check.java
@@ -5,6 +5,7 @@
 import org.kohsuke.args4j.Option;
 import tinroad.config.GatewayConfig;
 import tinroad.fastcgi.FastCgiFront;
+import tinroad.node.Server;
 import tinroad.operator.Operator;
 
 /** {@code check}: reads configuration and operator file and says whether a gateway could start with them. */
--- a/src/main/java/tinroad/cli/Serve.java
+++ b/src/main/java/tinroad/cli/Serve.java
@@ -7,6 +7,7 @@
 import org.slf4j.LoggerFactory;
 import tinroad.config.ConfigException;
 import tinroad.config.GatewayConfig;
+import tinroad.node.Server;
 import tinroad.operator.Operator;
 import tinroad.operator.OperatorException;
 
--- a/src/main/java/tinroad/engine/EngineLink.java
+++ b/src/main/java/tinroad/engine/EngineLink.java
@@ -5,6 +5,7 @@
 import tinroad.core.Engine;
 import tinroad.core.Progress;
 import tinroad.log.Keys;
+import tinroad.recovery.Reconnects;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufInputStream;
@@ -38,8 +39,8 @@
     /** A line holds a result of 4 KiB in base64 and a few words; a longer one is skipped. */
     static final int LONGEST_LINE = 64 * 1024;
     private static final int MOST_UNFLUSHED = 64;
-    private static final long FIRST_RETRY_MS = 1;
-    private static final long LAST_RETRY_MS = 250;
+    private static final double FIRST_RETRY_MS = 1;
+    private static final double LAST_RETRY_MS = 250;
     /** The question that follows HELLO: its reply comes after all notices from before the link. No timer's tag. */
     private static final String CATCH_UP = "catch-up";
     /** So long an earlier link is still read once a new one has taken over, in ms; then it is closed. */
@@ -59,10 +60,11 @@
     private volatile boolean reached;
     private boolean attachedOnce;
     private long lastNotice;
-    private long retryMs = FIRST_RETRY_MS;
+    private final Reconnects reconnects;
 
-    /** A link to {@code address}, whose gauges come in the order of {@code gaugeNames}. */
-    public EngineLink(EventLoop loop, InetSocketAddress address, List<String> gaugeNames) {
+    /** A link of gateway {@code name} to {@code address}, whose gauges come in the order of {@code gaugeNames}. */
+    public EngineLink(EventLoop loop, InetSocketAddress address, List<String> gaugeNames, String name, long seed) {
+        reconnects = new Reconnects(name, seed, FIRST_RETRY_MS, LAST_RETRY_MS);
         this.loop = loop;
         this.address = address;
         this.gaugeNames = gaugeNames;
@@ -89,7 +91,7 @@
         }
         address = to;
         Keys.with(LOG.atInfo(), "engine", to).log("moving to {}", to);
-        retryMs = FIRST_RETRY_MS;
+        reconnects.alive();
         leaveLink();
         connect();
     }
@@ -146,8 +148,7 @@
                 if (after == attempts) {
                     connect();
                 }
-            }, retryMs, TimeUnit.MILLISECONDS);
-            retryMs = Math.min(LAST_RETRY_MS, 2 * retryMs);
+            }, (long) (reconnects.next() * 1e6), TimeUnit.NANOSECONDS);
         }
     }
 
@@ -247,7 +248,7 @@
                         link = context;
                         attachedOnce = true;
                         reached = true;
-                        retryMs = FIRST_RETRY_MS;
+                        reconnects.alive();
                         askGauges(CATCH_UP);
                         listener.attached(notice.state().equals("fresh"), notice.took());
                     }
--- a/src/main/java/tinroad/lab/Lab.java
+++ b/src/main/java/tinroad/lab/Lab.java
@@ -175,7 +175,11 @@
         zeroNanos = System.nanoTime();
         Files.createDirectories(options.folder);
         onLoop(this::build);
-        members.forEach(m -> begin(m, false));
+        for (Member m : members) {
+            // Guards against the logs of an earlier run in this folder: they tell of another's good health.
+            delete(m.folder);
+            begin(m, false);
+        }
         awaitListed();
         double beginning = now() + 200;
         onLoop(() -> rebase(beginning));
--- a/src/main/java/tinroad/lab/relay/Pipe.java
+++ b/src/main/java/tinroad/lab/relay/Pipe.java
@@ -1,6 +1,7 @@
 package tinroad.lab.relay;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
@@ -139,6 +140,7 @@
     private final class Direction {
         private final Way way;
         private final ArrayDeque<ByteBuf> held = new ArrayDeque<>();
+        private final ArrayDeque<Runnable> delayed = new ArrayDeque<>();
         private Channel from;
         private Channel to;
         private int bytes;
@@ -223,10 +225,12 @@
 
         private void later(Runnable task) {
             double wait = freeAt - System.nanoTime() / 1e6;
-            if (wait <= 0) {
+            if (wait <= 0 && delayed.isEmpty()) {
                 task.run();
             } else {
-                to.eventLoop().schedule(task, (long) (wait * 1e6), TimeUnit.NANOSECONDS);
+                // Whichever timer fires first, the first in the row goes: timers of one moment come in no order.
+                delayed.add(task);
+                to.eventLoop().schedule(() -> delayed.remove().run(), (long) (Math.max(0, wait) * 1e6), TimeUnit.NANOSECONDS);
             }
         }
 
@@ -234,7 +238,7 @@
             if (aborted) {
                 abort(to);
             } else if (closed) {
-                to.writeAndFlush(io.netty.buffer.Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+                to.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
             } else if (to instanceof DuplexChannel duplex && to.isActive() && !duplex.isOutputShutdown()) {
                 duplex.shutdownOutput();
             }
--- a/src/main/java/tinroad/cli/Rehearsal.java
+++ b/src/main/java/tinroad/node/Rehearsal.java
@@ -1,4 +1,4 @@
-package tinroad.cli;
+package tinroad.node;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
@@ -51,7 +51,7 @@
 
     Rehearsal(Site site) {
         this.site = site;
-        EngineLink link = new EngineLink(null, null, site.gaugeNames());
+        EngineLink link = new EngineLink(null, null, site.gaugeNames(), "", 0);
         Gateway gateway = new Gateway(site, 1, () -> now, (ms, task) -> timers.add(task), link,
                 OverloadController::new, NOPLogger.NOP_LOGGER);
         front = new FastCgiFront(() -> now, gateway, Integer.MAX_VALUE, Double.MAX_VALUE);
--- a/src/main/java/tinroad/cli/Server.java
+++ b/src/main/java/tinroad/node/Server.java
@@ -1,4 +1,4 @@
-package tinroad.cli;
+package tinroad.node;
 
 import tinroad.OverloadController;
 import tinroad.config.GatewayConfig;
@@ -25,7 +25,7 @@
 import org.slf4j.LoggerFactory;
 
 /** The parts of one gateway put together on one event loop, from its start to its leave. */
-final class Server implements AutoCloseable {
+public final class Server implements AutoCloseable {
     /** The last part of the time to leave, in ms: for the last answers to be taken and the process to end. */
     private static final double EXIT_MARGIN = 200;
     /** So long before that no new connection is taken, and empty ones are closed. */
@@ -57,17 +57,17 @@
     private final CountDownLatch ended = new CountDownLatch(1);
 
     /** A gateway that shares {@code directory}, or null, with other processes under the same name. */
-    Server(GatewayConfig config, String directory) {
+    public Server(GatewayConfig config, String directory) {
         this.config = config;
         engineAt = config.engine();
         rosterAt = config.roster();
         succession = new Succession(directory, config.name());
-        engine = new EngineLink(loop, config.engine(), config.site().gaugeNames());
+        engine = new EngineLink(loop, config.engine(), config.site().gaugeNames(), config.name(), config.seed());
         gateway = new Gateway(config.site(), config.seed(), clock, this::after, engine, OverloadController::new,
                 LoggerFactory.getLogger("gateway"));
         front = new FastCgiFront(clock, gateway, config.sockets(), config.memoryMb());
         rereads = new Rereads(config.seed());
-        roster = new RosterReporter(loop, config.roster(), config.name());
+        roster = new RosterReporter(loop, config.roster(), config.name(), config.seed());
         gateway.add(front);
         gateway.onHealth(this::health);
     }
@@ -84,7 +84,7 @@
     }
 
     /** Has the virtual machine see its work before any caller does; blocks until then. */
-    void rehearse() throws InterruptedException {
+    public void rehearse() throws InterruptedException {
         loop.submit(() -> new Rehearsal(config.site()).play()).await();
     }
 
@@ -92,7 +92,7 @@
      * Listens, and begins to connect to the engine; returns the address that it listens on, or null where the notice
      * to leave came first: then nothing ever listens.
      */
-    InetSocketAddress start() throws IOException, InterruptedException {
+    public InetSocketAddress start() throws IOException, InterruptedException {
         if (config.control() != null) {
             listening(new ControlServer(gateway).listen(loop, config.control()), config.control());
         }
@@ -138,7 +138,7 @@
     }
 
     /** Goes on with the addresses of engine and roster in {@code next}; all else in it counts at the next start. */
-    void reload(GatewayConfig next) {
+    public void reload(GatewayConfig next) {
         engineAt = next.engine();
         rosterAt = next.roster();
         loop.execute(() -> {
@@ -153,7 +153,7 @@
      * Leaves: answers all that was read, then ends. Blocks its caller, the thread that the notice comes on. A process
      * that was replaced leaves at once, and quietly: the gateway itself stays.
      */
-    void leave() {
+    public void leave() {
         double noticedAt = clock.now();
         if (begun.compareAndSet(Begun.NEITHER, Begun.LEAVING)) {
             // Guards against a wait for the rehearsal, or for the engine: nobody has asked for anything yet.
@@ -200,7 +200,7 @@
      * Blocks until the end. Meanwhile it looks whether another process shares what this gateway may hold, and, while the
      * engine is gone, what the configuration says by now: {@code reread}, which may tell null.
      */
-    void awaitEnd(Supplier<GatewayConfig> reread) throws InterruptedException {
+    public void awaitEnd(Supplier<GatewayConfig> reread) throws InterruptedException {
         do {
             share(succession.shared());
             if (rereads.due(clock.now(), engine.reached())) {
--- a/src/main/java/tinroad/cli/Succession.java
+++ b/src/main/java/tinroad/node/Succession.java
@@ -1,4 +1,4 @@
-package tinroad.cli;
+package tinroad.node;
 
 import java.io.IOException;
 import java.nio.channels.FileChannel;
--- a/src/main/java/tinroad/roster/RosterReporter.java
+++ b/src/main/java/tinroad/roster/RosterReporter.java
@@ -10,6 +10,7 @@
 import io.netty.channel.socket.nio.NioDatagramChannel;
 import io.netty.util.ReferenceCountUtil;
 import java.net.InetSocketAddress;
+import tinroad.recovery.Pace;
 import java.util.concurrent.TimeUnit;
 
 /** Reports to the roster that this gateway is there, and whether it takes work. */
@@ -18,18 +19,22 @@
      * The roster forgets a gateway 3 s after its last report, and a quarter of the datagrams may be lost: at this
      * period a lapse takes a dozen losses in a row, and a change that is lost is told again soon.
      */
-    private static final long PERIOD_MS = 250;
+    private static final double PERIOD_MS = 250;
+    /** So much more or less of it each time: gateways that started together must not report together. */
+    private static final double SPREAD = 0.2;
 
     private final EventLoop loop;
     private final String name;
     private InetSocketAddress roster;
+    private final Pace pace;
     private Channel channel;
     private boolean reporting;
     private boolean on;
     private boolean silent;
 
     /** Reports {@code name} to {@code roster}. */
-    public RosterReporter(EventLoop loop, InetSocketAddress roster, String name) {
+    public RosterReporter(EventLoop loop, InetSocketAddress roster, String name, long seed) {
+        pace = new Pace(name, seed, PERIOD_MS, SPREAD);
         this.loop = loop;
         this.roster = roster;
         this.name = name;
@@ -48,7 +53,14 @@
                     @Override
                     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) { }
                 }).bind(0).addListener(bound -> send()).channel();
-        loop.scheduleWithFixedDelay(this::send, PERIOD_MS, PERIOD_MS, TimeUnit.MILLISECONDS);
+        again();
+    }
+
+    private void again() {
+        loop.schedule(() -> {
+            send();
+            again();
+        }, (long) (pace.next() * 1e6), TimeUnit.NANOSECONDS);
     }
 
     /** Reports to another address from now on. */
--- a/src/test/java/tinroad/LayersTest.java
+++ b/src/test/java/tinroad/LayersTest.java
@@ -23,6 +23,7 @@
     void arrowsGoDownOnly() {
         Architectures.layeredArchitecture().consideringOnlyDependenciesInLayers().withOptionalLayers(true)
                 .layer("cli").definedBy("tinroad.cli..")
+                .layer("node").definedBy("tinroad.node..")
                 .layer("edges").definedBy("tinroad.fastcgi..", "tinroad.engine..", "tinroad.upstream..", "tinroad.control..",
                         "tinroad.roster..", "tinroad.drill..")
                 .layer("lab").definedBy("tinroad.lab..")
@@ -32,11 +33,12 @@
                 .layer("log").definedBy("tinroad.log..")
                 .layer("module").definedBy("tinroad")
                 .whereLayer("cli").mayNotBeAccessedByAnyLayer()
+                .whereLayer("node").mayOnlyBeAccessedByLayers("cli")
                 .whereLayer("lab").mayOnlyBeAccessedByLayers("cli")
-                .whereLayer("edges").mayOnlyBeAccessedByLayers("cli", "lab")
-                .whereLayer("core").mayOnlyBeAccessedByLayers("cli", "edges", "lab")
-                .whereLayer("decisions").mayOnlyBeAccessedByLayers("cli", "edges", "lab")
-                .whereLayer("settings").mayOnlyBeAccessedByLayers("cli", "edges", "lab", "core", "decisions")
+                .whereLayer("edges").mayOnlyBeAccessedByLayers("cli", "node", "lab")
+                .whereLayer("core").mayOnlyBeAccessedByLayers("cli", "node", "edges", "lab")
+                .whereLayer("decisions").mayOnlyBeAccessedByLayers("cli", "node", "edges", "lab")
+                .whereLayer("settings").mayOnlyBeAccessedByLayers("cli", "node", "edges", "lab", "core", "decisions")
                 .check(ALL);
     }
 
--- a/src/test/java/tinroad/engine/EngineLinkTest.java
+++ b/src/test/java/tinroad/engine/EngineLinkTest.java
@@ -55,7 +55,7 @@
         group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         server = new ServerSocket(0, 5, InetAddress.getLoopbackAddress());
         server.setSoTimeout((int) TimeUnit.SECONDS.toMillis(HUNG_S));
-        link = new EngineLink(group.next(), (InetSocketAddress) server.getLocalSocketAddress(), GAUGES);
+        link = new EngineLink(group.next(), (InetSocketAddress) server.getLocalSocketAddress(), GAUGES, "n3", 1);
         group.next().execute(() -> link.start(new Heard()));
         accept();
     }
@@ -198,7 +198,7 @@
     @Property(seed = "20261204", tries = 200)
     void noticesAreUnderstoodHoweverTheyAreCutAndWhateverIsBetween(@ForAll long seed,
             @ForAll @Size(max = 100) byte[] garbage) {
-        EngineLink cut = new EngineLink(null, null, GAUGES);
+        EngineLink cut = new EngineLink(null, null, GAUGES, "n3", 1);
         List<String> ended = new ArrayList<>();
         cut.listen(new Heard() {
             @Override public void ended(String id, Engine.End end, double took, ByteBuf result) {
--- a/src/test/java/tinroad/cli/ServerTest.java
+++ b/src/test/java/tinroad/node/ServerTest.java
@@ -1,4 +1,4 @@
-package tinroad.cli;
+package tinroad.node;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
--- /dev/null
+++ b/src/test/java/tinroad/recovery/ReconnectsTest.java
@@ -0,0 +1,98 @@
+package tinroad.recovery;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.PriorityQueue;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.DoubleRange;
+import org.junit.jupiter.api.Test;
+
+/** Gaps between attempts, for one gateway and for a fleet of 200 on virtual time. */
+class ReconnectsTest {
+    private static final double FIRST = 1;
+    private static final double CAP = 250;
+    private static final int FLEET = 200;
+
+    private record Attempt(double at, int gateway) { }
+
+    /** All attempts of a fleet whose links went down in one moment and can be had again after {@code cut} ms. */
+    private static List<Attempt> afterACutOf(double cut, long seed) {
+        PriorityQueue<Attempt> next = new PriorityQueue<>(Comparator.comparingDouble(Attempt::at).thenComparingInt(Attempt::gateway));
+        Reconnects[] fleet = new Reconnects[FLEET];
+        for (int g = 0; g < FLEET; g++) {
+            fleet[g] = new Reconnects("g" + g, seed, FIRST, CAP);
+            next.add(new Attempt(fleet[g].next(), g));
+        }
+        List<Attempt> made = new ArrayList<>();
+        while (!next.isEmpty()) {
+            Attempt a = next.poll();
+            made.add(a);
+            if (a.at < cut) {
+                next.add(new Attempt(a.at + fleet[a.gateway].next(), a.gateway));
+            }
+        }
+        return made;
+    }
+
+    @Test
+    void aFleetComesBackWithinTheCapAndNotInOneMoment() {
+        for (double cut : new double[] {1000, 30_000, 600_000}) {
+            List<Attempt> back = afterACutOf(cut, 7).stream().filter(a -> a.at >= cut).toList();
+            assertEquals(FLEET, back.size());
+            int[] bins = new int[10];
+            back.forEach(a -> bins[(int) ((a.at - cut) / CAP * bins.length)]++);
+            for (int bin : bins) {
+                // A tenth of the cap: even would be 20 of 200, all at once 200. Short gaps put more at the front.
+                assertTrue(bin <= 60, bin + " of " + FLEET + " in 25 ms after a cut of " + cut);
+            }
+        }
+    }
+
+    @Test
+    void aLongCutCostsFewAttempts() {
+        // Gaps are a third of the cap or more in the mean, once they have grown.
+        assertTrue(afterACutOf(600_000, 7).size() < FLEET * 600_000 / (CAP / 3));
+    }
+
+    @Property(tries = 200, seed = "1")
+    void gapsStayWithinTheirBounds(@ForAll long seed, @ForAll @DoubleRange(min = 1, max = 100) double first) {
+        Reconnects reconnects = new Reconnects("n3", seed, first, 10 * first);
+        double before = first;
+        for (int i = 0; i < 100; i++) {
+            double gap = reconnects.next();
+            assertTrue(gap >= first && gap <= Math.min(10 * first, 3 * before), "gap " + gap + " after " + before);
+            before = gap;
+        }
+        reconnects.alive();
+        assertTrue(reconnects.next() <= 3 * first);
+    }
+
+    @Test
+    void nameAndSeedEachTellGatewaysApart() {
+        assertNotEquals(new Reconnects("a", 1, 1, 1000).next(), new Reconnects("b", 1, 1, 1000).next());
+        assertNotEquals(new Reconnects("a", 1, 1, 1000).next(), new Reconnects("a", 2, 1, 1000).next());
+        assertEquals(new Reconnects("a", 1, 1, 1000).next(), new Reconnects("a", 1, 1, 1000).next());
+    }
+
+    @Test
+    void aFleetThatStartsInOneMomentReportsAtAnEvenPace() {
+        int[] bins = new int[2000];
+        for (int g = 0; g < FLEET; g++) {
+            Pace pace = new Pace("g" + g, 7, 250, 0.2);
+            for (double at = 0; at < 50_000; at += pace.next()) {
+                bins[(int) (at / 25)]++;
+            }
+        }
+        assertEquals(FLEET, bins[0]);
+        // After 20 s: even would be 20 in 25 ms.
+        for (int b = 800; b < bins.length; b++) {
+            assertTrue(bins[b] <= 45, bins[b] + " at " + 25 * b);
+        }
+    }
+}
--- a/src/test/java/tinroad/roster/RosterReporterTest.java
+++ b/src/test/java/tinroad/roster/RosterReporterTest.java
@@ -29,7 +29,7 @@
         try (DatagramSocket roster = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
             roster.setSoTimeout(HUNG_MS);
             RosterReporter reporter = new RosterReporter(group.next(),
-                    (InetSocketAddress) roster.getLocalSocketAddress(), "n3");
+                    (InetSocketAddress) roster.getLocalSocketAddress(), "n3", 1);
             group.next().execute(() -> {
                 reporter.start();
                 // The socket is not open yet: the report must go out as soon as it is.
