Keep state in a folder: versioned, checksummed, aged, fenced by life numbers; not wired yet

Change: tinroad.state. StateFolder alone touches files: write beside, force, rename; a marker for each life, made by one process only, fences those before. No gateway writes state yet: that comes with what the module has learned.

--- a/src/main/java/tinroad/cli/Main.java
+++ b/src/main/java/tinroad/cli/Main.java
@@ -23,6 +23,7 @@
         COMMANDS.put("figures", FiguresCall::new);
         COMMANDS.put("wirehost", WireHost::new);
         COMMANDS.put("lab", LabCommand::new);
+        COMMANDS.put("state", StateCommand::new);
         COMMANDS.put("help", Help::new);
         COMMANDS.put("completion", Completion::new);
         COMMANDS.put("version", Version::new);
--- /dev/null
+++ b/src/main/java/tinroad/cli/StateCommand.java
@@ -0,0 +1,94 @@
+package tinroad.cli;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import org.kohsuke.args4j.Argument;
+import org.kohsuke.args4j.Option;
+import tinroad.state.Reading;
+import tinroad.state.Recall;
+import tinroad.state.Remembered;
+import tinroad.state.Snapshot;
+import tinroad.state.StateFolder;
+
+/** {@code state}: what lasts of a gateway in a folder; reads only. */
+public final class StateCommand extends Command {
+    /** What is wanted. */
+    enum Act { SHOW, VERIFY }
+
+    @Argument(index = 0, metaVar = "show|verify", required = true, usage = "show what the latest snapshot holds, or check all of them")
+    private Act act;
+
+    @Argument(index = 1, metaVar = "FOLDER", required = true, usage = "the folder of state")
+    private String folder;
+
+    @Option(name = "--output", usage = "table or json")
+    private Output output = Output.TABLE;
+
+    @Override
+    About about() {
+        return new About("shows or checks what lasts of a gateway in a folder", "tinroad state show /var/lib/tinroad/n3",
+                "0  every file can be used", "1  a file is damaged or of a later version, or there is none", "2  wrong arguments");
+    }
+
+    @Override
+    int run(InputStream in, PrintStream out, PrintStream err) {
+        Path path = Path.of(folder);
+        if (!Files.isDirectory(path)) {
+            err.println("tinroad: " + folder + ": no such folder");
+            return FAILED;
+        }
+        try {
+            List<Recall.Candidate> found = new StateFolder(path, null, 1).candidates();
+            if (found.isEmpty()) {
+                err.println("tinroad: " + folder + ": no state");
+                return FAILED;
+            }
+            if (act == Act.VERIFY) {
+                verify(found, out);
+            } else {
+                show(found, out);
+            }
+            return found.stream().allMatch(c -> c.reading().why() == null) ? FINE : FAILED;
+        } catch (IOException e) {
+            err.println("tinroad: " + folder + ": can't be read: " + e.getMessage());
+            return FAILED;
+        }
+    }
+
+    private void verify(List<Recall.Candidate> found, PrintStream out) {
+        List<List<Object>> rows = new ArrayList<>();
+        for (Recall.Candidate c : found) {
+            Reading r = c.reading();
+            Snapshot s = r.snapshot();
+            rows.add(s == null ? List.of(c.file(), r.why().name().toLowerCase(Locale.ROOT).replace('_', ' ') + ": " + r.text(), "", 0, 0, 0)
+                    : List.of(c.file(), "good", s.name(), s.life(), s.values().size(), s.ran().size()));
+        }
+        output.print(List.of("file", "is", "gateway", "life", "values", "ran"), rows, out);
+    }
+
+    private void show(List<Recall.Candidate> found, PrintStream out) {
+        double now = System.currentTimeMillis();
+        Snapshot s = Recall.decide(found, name(found), now,
+                Double.MAX_VALUE, 0, 0).snapshot();
+        List<List<Object>> rows = new ArrayList<>();
+        if (s != null) {
+            rows.add(List.of("gateway " + s.name() + (s.evacuated() ? ", evacuated" : "") + ", ids that ran", s.ran().size(), 0,
+                    Math.round((now - s.savedAt()) / 1000), s.life()));
+            for (var e : s.values().entrySet()) {
+                Remembered r = e.getValue();
+                rows.add(List.of(e.getKey(), r.value(), r.weight(), Math.round((now - r.learnedAt()) / 1000), r.life()));
+            }
+        }
+        output.print(List.of("what", "value", "weight", "age_s", "life"), rows, out);
+    }
+
+    private static String name(List<Recall.Candidate> found) {
+        return found.stream().filter(c -> c.reading().snapshot() != null).map(c -> c.reading().snapshot().name()).reduce("", (a, b) -> b);
+    }
+}
--- a/src/main/java/tinroad/cli/Usage.java
+++ b/src/main/java/tinroad/cli/Usage.java
@@ -80,6 +80,7 @@
         String own = String.join(" ", options(name));
         return switch (name) {
             case "help" -> names + " " + own;
+            case "state" -> "show verify " + own;
             case "lab" -> "run compare list " + own;
             case "completion" -> "bash zsh " + own;
             default -> own;
--- /dev/null
+++ b/src/main/java/tinroad/state/Reading.java
@@ -0,0 +1,28 @@
+package tinroad.state;
+
+/** What a file of state turned out to be: a snapshot, or why it is none that can be used. */
+public record Reading(Snapshot snapshot, Why why, String text) {
+    /** Why a file is set aside. */
+    public enum Why {
+        /** Cut short, changed, or never one of ours. */
+        DAMAGED,
+        /** Written by a later version, whose meaning is unknown. */
+        FOREIGN_VERSION,
+        /** Of a gateway with another name. */
+        ANOTHERS,
+        /** Saved later than now: the clock went back, or the file came from elsewhere. */
+        FUTURE,
+        /** Saved longer ago than is allowed. */
+        TOO_OLD,
+        /** Of an earlier life than one that is known to have been: the folder was rolled back. */
+        ROLLED_BACK
+    }
+
+    static Reading of(Snapshot snapshot) {
+        return new Reading(snapshot, null, "");
+    }
+
+    static Reading not(Why why, String text) {
+        return new Reading(null, why, text);
+    }
+}
--- a/src/test/java/tinroad/LayersTest.java
+++ b/src/test/java/tinroad/LayersTest.java
@@ -29,7 +29,7 @@
                 .layer("lab").definedBy("tinroad.lab..")
                 .layer("core").definedBy("tinroad.core..")
                 .layer("decisions").definedBy("tinroad.route..", "tinroad.translate..", "tinroad.expect..", "tinroad.recovery..")
-                .layer("settings").definedBy("tinroad.config..", "tinroad.operator..")
+                .layer("settings").definedBy("tinroad.config..", "tinroad.operator..", "tinroad.state..")
                 .layer("log").definedBy("tinroad.log..")
                 .layer("module").definedBy("tinroad")
                 .whereLayer("cli").mayNotBeAccessedByAnyLayer()
--- /dev/null
+++ b/src/test/java/tinroad/state/StateTest.java
@@ -0,0 +1,140 @@
+package tinroad.state;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Arrays;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+import tinroad.state.Reading.Why;
+import tinroad.state.Recall.Begin;
+import tinroad.state.Recall.Candidate;
+
+/** What is decided about state, without a file. */
+class StateTest {
+    private static final double NOW = 1.8e12;
+    private static final double OLDEST = 600_000;
+
+    static Snapshot snapshot(long life, long generation, double savedAt) {
+        return new Snapshot("n3", life, generation, savedAt, true, Map.of("run.order-status", new Remembered(24.5, 80, savedAt - 10, life)),
+                Map.of("9b1f03aa5c7e2d41", savedAt + 3000));
+    }
+
+    private static Candidate file(Snapshot s) {
+        return new Candidate("f" + s.life() + "." + s.generation(), Encoding.read(Encoding.write(s)));
+    }
+
+    private static Recall.Decision decide(long fence, Candidate... found) {
+        return Recall.decide(List.of(found), "n3", NOW, OLDEST, 0, fence);
+    }
+
+    @Test
+    void whatIsWrittenIsRead() {
+        Snapshot s = snapshot(3, 7, NOW);
+        assertEquals(s, Encoding.read(Encoding.write(s)).snapshot());
+    }
+
+    @Test
+    void aFileCutShortAtAnyByteIsDamaged() {
+        byte[] whole = Encoding.write(snapshot(3, 7, NOW));
+        for (int n = 0; n < whole.length; n++) {
+            assertEquals(Why.DAMAGED, Encoding.read(Arrays.copyOf(whole, n)).why(), "cut at " + n);
+        }
+    }
+
+    @Test
+    void noBitCanFlipUnnoticed() {
+        byte[] whole = Encoding.write(snapshot(3, 7, NOW));
+        for (int bit = 0; bit < 8 * whole.length; bit++) {
+            byte[] flipped = whole.clone();
+            flipped[bit / 8] ^= (byte) (1 << bit % 8);
+            assertNull(Encoding.read(flipped).snapshot(), "bit " + bit);
+        }
+    }
+
+    @Property(tries = 500, seed = "1")
+    void garbageIsSetAside(@ForAll @Size(max = 300) byte[] garbage) {
+        assertEquals(Why.DAMAGED, Encoding.read(garbage).why());
+    }
+
+    @Test
+    void aLaterVersionIsNotRead() {
+        assertEquals(Why.FOREIGN_VERSION, Encoding.read(Encoding.write(snapshot(1, 1, NOW), 2)).why());
+    }
+
+    @Test
+    void theLatestSnapshotOfTheLatestLifeIsBelieved() {
+        // A replaced process that woke up has written a higher generation of its own, lower life.
+        Recall.Decision d = decide(0, file(snapshot(2, 900, NOW - 10)), file(snapshot(3, 1, NOW - 500)), file(snapshot(3, 2, NOW - 300)));
+        assertEquals(snapshot(3, 2, NOW - 300), d.snapshot());
+        assertEquals(Begin.WARM, d.begin());
+        assertEquals(3, d.lastLife());
+        assertEquals(List.of(), d.setAside());
+    }
+
+    @Test
+    void aDamagedOneGivesWayToTheOneBefore() {
+        Candidate torn = new Candidate("torn", Encoding.read(Arrays.copyOf(Encoding.write(snapshot(4, 9, NOW)), 50)));
+        Recall.Decision d = decide(0, file(snapshot(3, 2, NOW - 300)), torn);
+        assertEquals(3, d.snapshot().life());
+        assertTrue(d.setAside().get(0).startsWith("torn: damaged: its checksum does not fit"), d::toString);
+    }
+
+    @Test
+    void whatCannotBeTrueIsSetAsideAndTheLifeBeginsCold() {
+        Map<Candidate, String> wrong = new LinkedHashMap<>();
+        wrong.put(file(snapshot(3, 1, NOW - OLDEST - 1)), "f3.1: too old: saved 600 s ago");
+        wrong.put(file(snapshot(3, 1, NOW + 3_600_000)), "f3.1: future: saved 3600 s from now");
+        wrong.put(file(new Snapshot("n4", 3, 1, NOW, false, Map.of(), Map.of())), "f3.1: anothers: it is of n4");
+        wrong.put(file(snapshot(3, 1, NOW)), "f3.1: rolled back: of life 3, and there was life 5");
+        wrong.forEach((c, text) -> {
+            Recall.Decision d = decide(text.contains("rolled") ? 5 : 0, c);
+            assertEquals(Begin.COLD, d.begin());
+            assertNull(d.snapshot());
+            assertTrue(d.setAside().get(0).startsWith(text), d::toString);
+        });
+    }
+
+    @Test
+    void anEmptyFolderIsAFirstStartUnlessSomethingTellsOfALifeBefore() {
+        assertEquals(Begin.FIRST, decide(0).begin());
+        assertEquals(new Recall.Decision(Begin.COLD, null, 5, List.of()), decide(5));
+        assertEquals(Begin.COLD, Recall.decide(List.of(), "n3", NOW, OLDEST, 2, 0).begin());
+    }
+
+    /** No decision may use a value beyond its age, whatever is asked for. */
+    @Property(tries = 1000, seed = "1")
+    void nothingIsUsedBeyondItsAge(@ForAll double value, @ForAll double weight, @ForAll int learnedAgo, @ForAll int oldest) {
+        Aged aged = Aged.of(new Remembered(value, weight, NOW - learnedAgo, 3), NOW, 10, 1000, oldest);
+        assertTrue(aged == null || aged.age() <= oldest && aged.age() >= 0 && Double.isFinite(aged.value()) && aged.weight() >= 0);
+        assertTrue(aged == null || learnedAgo >= -Recall.CLOCKS);
+    }
+
+    @Test
+    void aValueFadesTowardThePrior() {
+        Remembered r = new Remembered(100, 80, NOW - 2000, 3);
+        assertEquals(new Aged(55, 40, 2000, 3), Aged.of(r, NOW, 10, 2000, OLDEST));
+        assertEquals(new Aged(32.5, 20, 4000, 3), Aged.of(r, NOW + 2000, 10, 2000, OLDEST));
+        assertNull(Aged.of(r, NOW, 10, 2000, 1999));
+        assertNull(Aged.of(r, NOW - 3001, 10, 2000, OLDEST));
+    }
+
+    @Test
+    void aLargeStateStaysWithinItsBound() {
+        Map<String, Remembered> values = new LinkedHashMap<>();
+        Map<String, Double> ran = new LinkedHashMap<>();
+        for (int i = 0; i < 50_000; i++) {
+            values.put("caller." + i, new Remembered(i, 1, NOW, 1));
+            ran.put(String.format("%016x", i * 7919L), NOW + i);
+        }
+        byte[] bytes = Encoding.write(new Snapshot("n3", 1, 1, NOW, false, values, ran));
+        assertTrue(bytes.length < 4_500_000, "" + bytes.length);
+        assertEquals(50_000, Encoding.read(bytes).snapshot().values().size());
+    }
+}
