--- a/src/main/java/tinroad/lab/Lab.java
+++ b/src/main/java/tinroad/lab/Lab.java
@@ -342,7 +342,10 @@
         proxies.forEach(p -> agenda.at(now(), p::begin));
         for (Asked asked : plan.requests()) {
             agenda.at(asked.at(), () -> {
-                lateness.recordValue(Math.min(60_000_000, Math.max(0, (long) (1000 * (now() - asked.at())))));
+                // What comes before the first moment that counts warms the lab up, too.
+                if (asked.at() >= script.settle()) {
+                    lateness.recordValue(Math.min(60_000_000, Math.max(0, (long) (1000 * (now() - asked.at())))));
+                }
                 proxies.get(asked.proxy()).ask(asked);
             });
         }
