--- a/src/test/java/tinroad/lab/LabTest.java
+++ b/src/test/java/tinroad/lab/LabTest.java
@@ -15,6 +15,7 @@
 import tinroad.lab.plan.Plan;
 import tinroad.lab.script.ScriptReader;
 import tinroad.lab.stand.World.Mutant;
+import tinroad.lab.truth.Ledger;
 import tinroad.lab.truth.Rules;
 import tinroad.lab.truth.Rules.Rule;
 
@@ -27,11 +28,13 @@
 
     @TempDir
     private Path dir;
+    private Ledger ledger;
 
     private Report play(String script, long seed, Mutant mutant) throws Exception {
         Path file = Files.writeString(dir.resolve("s.conf"), script);
         try (Lab lab = new Lab(Plan.of(ScriptReader.read(file), seed), new Lab.Options(PROGRAM, dir.resolve("run"), null, mutant))) {
             Lab.Outcome outcome = lab.play();
+            ledger = outcome.ledger();
             Report report = new Report(outcome);
             report.write(dir.resolve("out"));
             return report;
@@ -108,6 +111,17 @@
                   { do = repeat, at = 4s, for = 8s, links = [roster], chance = 0.3 }
                 ]
                 """);
+        // What was to happen did happen.
+        assertEquals(6 + 2, ledger.lives.size());
+        assertEquals(List.of(128 + 9, 128 + 15), exits(1));
+        assertEquals(List.of(128 + 9, 128 + 15), exits(3));
+        assertTrue(ledger.events.stream().anyMatch(e -> e.what().equals("did not end on notice: killed")));
+        assertEquals(1, ledger.events.stream().filter(e -> e.what().contains("changed unheard")).count());
+        assertTrue(ledger.tries.stream().anyMatch(t -> t.gateway == 3 && t.runs == 1 && t.result == null && t.brokenAt > 0));
+    }
+
+    private List<Integer> exits(int gateway) {
+        return ledger.lives.stream().filter(l -> l.gateway == gateway).map(l -> l.exit).toList();
     }
 
     private void caught(Mutant mutant, Rule rule, String words, String script) throws Exception {
