--- a/src/main/java/tinroad/lab/Lab.java
+++ b/src/main/java/tinroad/lab/Lab.java
@@ -338,6 +338,7 @@
         lastTick = now();
         world.begins(System.currentTimeMillis() - now());
         members.forEach(m -> m.engine.rebased(beginning));
+        roster.allUp();
         agenda.at(now(), roster::begin);
         proxies.forEach(p -> agenda.at(now(), p::begin));
         for (Asked asked : plan.requests()) {
@@ -448,8 +449,7 @@
                 GatewayProcess process = m.process;
                 Life life = m.life;
                 if (process != null) {
-                    life.mostMemoryMb = Math.max(life.mostMemoryMb, process.memoryMb());
-                    life.mostDescriptors = Math.max(life.mostDescriptors, process.descriptors());
+                    life.seen(process.memoryMb(), process.descriptors(), now() / script.length());
                 }
             }
             try {
--- a/src/main/java/tinroad/lab/stand/RosterStand.java
+++ b/src/main/java/tinroad/lab/stand/RosterStand.java
@@ -31,9 +31,16 @@
         list = new RosterList(script.fleet().gateways(), script.roster().lapse());
         random = Draw.stream(world.plan.seed(), "roster");
         told = new boolean[script.fleet().gateways()];
+        allUp();
+    }
+
+    /** The day begins: all gateways are up, every proxy knows it, and older news that are on their way count no more. */
+    public void allUp() {
         for (int g = 0; g < told.length; g++) {
+            int gateway = g;
             told[g] = true;
             list.engineUp(g, world.now());
+            proxies.forEach(p -> p.listed(gateway, true));
         }
     }
 
--- a/src/main/java/tinroad/lab/truth/Ledger.java
+++ b/src/main/java/tinroad/lab/truth/Ledger.java
@@ -34,12 +34,30 @@
         public boolean told;
         public double mostMemoryMb;
         public int mostDescriptors;
+        private double[] sums = new double[2];
+        private int[] counts = new int[2];
 
         Life(int gateway, int number, double startedAt) {
             this.gateway = gateway;
             this.number = number;
             this.startedAt = startedAt;
         }
+
+        /** A look at the process, {@code part} of the day gone: its second and last fifths tell whether memory grows. */
+        public void seen(double memoryMb, int descriptors, double part) {
+            mostMemoryMb = Math.max(mostMemoryMb, memoryMb);
+            mostDescriptors = Math.max(mostDescriptors, descriptors);
+            int fifth = (int) (5 * part);
+            if (memoryMb > 0 && (fifth == 1 || fifth == 4)) {
+                sums[fifth / 4] += memoryMb;
+                counts[fifth / 4]++;
+            }
+        }
+
+        /** Mean memory of the last fifth of the day less that of the second one, in MB; 0 where it lived through only one. */
+        public double grownMb() {
+            return counts[0] == 0 || counts[1] == 0 ? 0 : sums[1] / counts[1] - sums[0] / counts[0];
+        }
     }
 
     /** Something counted by gateway and second. */
--- a/src/main/java/tinroad/lab/truth/Rules.java
+++ b/src/main/java/tinroad/lab/truth/Rules.java
@@ -20,6 +20,9 @@
     public static final double GRACE = 2500 + 50;
     /** A request that crosses the close of its connection within this, in ms, goes again. */
     public static final double CROSSING = 50;
+    /** On a day this long, in ms, memory must be level: it grows by so many MB at most from its second to its last fifth. */
+    public static final double LONG_DAY = 60_000;
+    public static final double GROWN_MB = 12;
     /** Events of a gateway this near a try, in ms, are told with it. */
     private static final double NEAR = 500;
 
@@ -151,6 +154,10 @@
             broken.add(new Broken(Rule.LIMIT, "gateway " + life.gateway + " held " + Math.round(life.mostMemoryMb) + " MB and "
                     + life.mostDescriptors + " descriptors", List.of()));
         }
+        if (ledger.plan.script().length() >= LONG_DAY && life.grownMb() > GROWN_MB) {
+            broken.add(new Broken(Rule.LIMIT, "gateway " + life.gateway + " grew by " + Math.round(life.grownMb()) + " MB over the day",
+                    List.of()));
+        }
     }
 
     private void breaks(Rule rule, Try t, String what) {
--- a/src/test/java/tinroad/lab/truth/RulesTest.java
+++ b/src/test/java/tinroad/lab/truth/RulesTest.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import tinroad.lab.plan.Plan;
+import tinroad.lab.script.Script;
 import tinroad.lab.script.ScriptReader;
 import tinroad.lab.truth.Ledger.Excuse;
 import tinroad.lab.truth.Rules.Rule;
@@ -130,6 +131,22 @@
         broken(Rule.RAN_AFTER_NOTICE);
     }
 
+    @Test
+    void memoryThatGrowsOverALongDayIsToldAndWarmingUpIsNot() throws Exception {
+        Script day = ledger.plan.script();
+        ledger = new Ledger(Plan.of(new Script("", 60_000, 1000, day.fleet(), day.engine(), day.classes(), day.members(), day.subjects(),
+                day.callers(), day.load(), day.roster(), day.faults()), 1));
+        Ledger.Life warms = ledger.begins(0, 0);
+        Ledger.Life grows = ledger.begins(1, 0);
+        for (double part = 0; part < 1; part += 0.01) {
+            warms.seen(Math.min(70, 40 + 300 * part), 50, part);
+            grows.seen(50 + 25 * part, 50, part);
+        }
+        broken(Rule.LIMIT);
+        assertEquals(15, grows.grownMb(), 0.5);
+        assertEquals("gateway 1 grew by 15 MB over the day", Rules.judge(ledger).get(0).what());
+    }
+
     @Test
     void anEndThatNobodyAskedForIsACrashAndLimitsHold() {
         ledger.lives.get(0).endedAt = 500;
