Count reading into the lab's load

A load of 0.85 of the runs was 1.06 of the cores once each request had been read for a quarter of its work. Load now means the cores' time, reading included.

--- a/src/main/java/tinroad/lab/Lab.java
+++ b/src/main/java/tinroad/lab/Lab.java
@@ -425,7 +425,7 @@
                     .put("gain", k.gain()).put("late_share", 0.2).put("semantics", k.free() ? "free" : "single_shot");
         }
         ArrayNode orgs = s.putArray("orgs");
-        double all = script.fleet().power() / Plan.meanWork(script) * 1000;
+        double all = script.fleet().power() / Plan.meanCost(script) * 1000;
         double sum = IntStream.rangeClosed(1, script.members().count()).mapToDouble(i -> Math.pow(i, -script.members().skew())).sum();
         for (int i = 1; i <= script.members().count(); i++) {
             double share = Math.pow(i, -script.members().skew()) / sum;
--- a/src/main/java/tinroad/lab/plan/Plan.java
+++ b/src/main/java/tinroad/lab/plan/Plan.java
@@ -80,10 +80,10 @@
                 .min().orElse(Double.NaN);
     }
 
-    /** Mean work of a request, in ms. */
-    public static double meanWork(Script script) {
+    /** What a request that is read and run once takes of the cores in the mean, in ms: at load 1 they have nothing left. */
+    public static double meanCost(Script script) {
         double parts = script.classes().stream().mapToDouble(Kind::part).sum();
-        return script.classes().stream().mapToDouble(k -> k.part() * k.work()).sum() / parts;
+        return script.classes().stream().mapToDouble(k -> k.part() * k.work()).sum() / parts * (1 + script.engine().read());
     }
 
     /** The same for the same plan, and another for another: of every request and every fault. */
@@ -107,7 +107,7 @@
         IntSupplier subject = crowd(script.subjects(), what);
         ContinuousSampler memory = LogNormalSampler.of(ZigguratSampler.NormalizedGaussian.of(what), Math.log(MEMORY_KB), MEMORY_SIGMA);
         DoubleSupplier law = law(what);
-        double perMs = script.fleet().power() / meanWork(script);
+        double perMs = script.fleet().power() / meanCost(script);
         double most = script.load().most() * perMs;
         List<Asked> drawn = new ArrayList<>();
         for (double t = gaps.sample() / most; t < script.length(); t += gaps.sample() / most) {
