--- a/src/test/java/tinroad/lab/LabTest.java
+++ b/src/test/java/tinroad/lab/LabTest.java
@@ -139,7 +139,10 @@
         caught(Mutant.CALLER_REPEATS_UNPROVEN, Rule.TWICE, "may run once only", """
                 length = 7s, settle = 1s, fleet.gateways = 3, load.level = 0.8
                 faults = [ { do = kill-gateway, at = 2s, gateways = [0], back-least = 500ms, back-most = 500ms }
+                  { do = reset, at = 3s, for = 10ms, links = [callers] }
+                  { do = reset, at = 3500ms, for = 10ms, links = [callers] }
                   { do = reset, at = 4s, for = 10ms, links = [callers] }
+                  { do = reset, at = 4500ms, for = 10ms, links = [callers] }
                   { do = reset, at = 5s, for = 10ms, links = [callers] }
                   { do = reset, at = 6s, for = 10ms, links = [callers] } ]
                 """);
