--- a/src/test/java/tinroad/lab/LabTest.java
+++ b/src/test/java/tinroad/lab/LabTest.java
@@ -97,6 +97,7 @@
                   { do = half, at = 3s, for = 1s, way = out, gateways = [0], links = [callers] }
                   { do = half, at = 3s, for = 1s, way = in, gateways = [1], links = [callers] }
                   { do = half, at = 4s, for = 1s, gateways = [2], links = [engine] }
+                  { do = engine-pause, at = 4200ms, for = 1s, gateways = [3] }
                   { do = kill-gateway, at = 5s, gateways = [3], back-least = 300ms, back-most = 300ms, folder = keep }
                   { do = stop, at = 6s, for = 2s, gateways = [4] }
                   { do = stop, at = 8s, for = 6s, gateways = [1] }
