--- a/src/main/java/tinroad/lab/Lab.java
+++ b/src/main/java/tinroad/lab/Lab.java
@@ -285,7 +285,8 @@
                 boolean checks = proxy >= FIRST_CHECKS;
                 return m.links.get(checks ? Link.CHECKS : Link.CALLERS)
                         .get(plan.zone(proxy - (checks ? FIRST_CHECKS : FIRST_PROXY)));
-            }, options.mutant == Mutant.RELAY_CHANGES_A_BYTE && m.number == 0, () -> shut(m)).listen();
+            }, options.mutant == Mutant.RELAY_CHANGES_A_BYTE && m.number == 0, () -> shut(m),
+                    from -> world.closed(from)).listen();
             m.engineRelay = engineRelay(m, ENGINE_RELAY_PORT);
             DatagramRelay.open(relays, address(host, ROSTER_PORT), address(ROSTER_HOST, ROSTER_PORT),
                     m.links.get(Link.ROSTER).get(0), plan.seed() + m.number);
@@ -294,7 +295,7 @@
 
     private StreamRelay engineRelay(Member m, int port) throws InterruptedException {
         return new StreamRelay(relays, address(host(m.number), port), address(host(m.number), ENGINE_PORT),
-                from -> m.links.get(Link.ENGINE).get(0), false, () -> { }).listen();
+                from -> m.links.get(Link.ENGINE).get(0), false, () -> { }, from -> { }).listen();
     }
 
     private void awaitListed() throws IOException, InterruptedException {
--- a/src/main/java/tinroad/lab/relay/Pipe.java
+++ b/src/main/java/tinroad/lab/relay/Pipe.java
@@ -30,10 +30,12 @@
     private final Direction in = new Direction(Way.IN);
     private final Direction out = new Direction(Way.OUT);
     private final Runnable connect;
+    private final Runnable onFarClosed;
     private boolean connecting;
 
-    /** A stream that was accepted as {@code near}; {@code connect} opens the other end. */
-    Pipe(LinkFaults faults, Channel near, boolean changesBytes, Runnable connect) {
+    /** A stream that was accepted as {@code near}; {@code connect} opens the other end, and {@code onFarClosed} hears of its end. */
+    Pipe(LinkFaults faults, Channel near, boolean changesBytes, Runnable connect, Runnable onFarClosed) {
+        this.onFarClosed = onFarClosed;
         this.faults = faults;
         this.near = near;
         this.changesBytes = changesBytes;
@@ -170,6 +172,9 @@
         }
 
         void ended(boolean whole) {
+            if (!inputEnded && way == Way.OUT) {
+                onFarClosed.run();
+            }
             inputEnded = true;
             closed |= whole;
             pump();
--- a/src/main/java/tinroad/lab/relay/StreamRelay.java
+++ b/src/main/java/tinroad/lab/relay/StreamRelay.java
@@ -11,6 +11,7 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.InetSocketAddress;
+import java.util.function.Consumer;
 import java.util.function.Function;
 
 /** Accepts streams at one address and brings them on to another. Whose a stream is, its source address tells. */
@@ -24,6 +25,7 @@
     private final Function<InetSocketAddress, LinkFaults> links;
     private final boolean changesBytes;
     private final Runnable onNobody;
+    private final Consumer<InetSocketAddress> onClosed;
     private Channel listener;
 
     /**
@@ -32,15 +34,18 @@
      * @param links the link of a source
      * @param changesBytes a relay that spoils what it brings on, for tests of the checker
      * @param onNobody hears that nobody listens at {@code to}
+     * @param onClosed hears which source's stream the far end has closed, before that source can know
      */
     public StreamRelay(EventLoopGroup group, InetSocketAddress at, InetSocketAddress to,
-            Function<InetSocketAddress, LinkFaults> links, boolean changesBytes, Runnable onNobody) {
+            Function<InetSocketAddress, LinkFaults> links, boolean changesBytes, Runnable onNobody,
+            Consumer<InetSocketAddress> onClosed) {
         this.group = group;
         this.at = at;
         this.to = to;
         this.links = links;
         this.changesBytes = changesBytes;
         this.onNobody = onNobody;
+        this.onClosed = onClosed;
     }
 
     /** Listens; blocks until it does. */
@@ -53,7 +58,8 @@
                     @Override
                     protected void initChannel(SocketChannel near) {
                         Pipe[] pipe = new Pipe[1];
-                        pipe[0] = new Pipe(links.apply(near.remoteAddress()), near, changesBytes, () -> connect(near, pipe[0]));
+                        pipe[0] = new Pipe(links.apply(near.remoteAddress()), near, changesBytes, () -> connect(near, pipe[0]),
+                                () -> onClosed.accept(near.remoteAddress()));
                         near.pipeline().addLast(pipe[0].end(true));
                         pipe[0].begin();
                     }
--- a/src/main/java/tinroad/lab/stand/World.java
+++ b/src/main/java/tinroad/lab/stand/World.java
@@ -1,8 +1,10 @@
 package tinroad.lab.stand;
 
 import io.netty.channel.EventLoop;
+import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.DoubleSupplier;
 import tinroad.lab.plan.Plan;
 import tinroad.lab.truth.Ledger;
@@ -20,6 +22,8 @@
     final Mutant mutant;
     final Map<String, Try> byId = new HashMap<>();
     private final DoubleSupplier clock;
+    /** When a relay saw a gateway close the connection of this source; taken once. */
+    private final Map<InetSocketAddress, Double> closed = new ConcurrentHashMap<>();
     private double unixAtZero;
     private final EngineStand[] engines;
     private final int[] life;
@@ -58,6 +62,17 @@
         return Math.round(unixAtZero + at);
     }
 
+    /** A gateway closed the connection of this source just now; called by the relays' threads. */
+    public void closed(InetSocketAddress from) {
+        closed.put(from, now());
+    }
+
+    /** When that was, or now where the connection ended otherwise. */
+    double closedAt(InetSocketAddress from) {
+        Double at = from == null ? null : closed.remove(from);
+        return at == null ? now() : at;
+    }
+
     void engine(int gateway, EngineStand engine) {
         engines[gateway] = engine;
     }
