Have a relay that refuses do so at once: wait for the selector's next look

Seen: RelayTest.refusedIsRefusedUntilItIsNot failed once in five runs, a connection was still taken after close() had been awaited. Java lets go of a listening socket that a selector knows only in that selector's next look. refuse() now waits 5 ms on that loop, in which it looks.

--- a/src/main/java/tinroad/lab/relay/StreamRelay.java
+++ b/src/main/java/tinroad/lab/relay/StreamRelay.java
@@ -11,6 +11,7 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Function;
 
@@ -18,6 +19,7 @@
 public final class StreamRelay {
     private static final int BACKLOG = 1024;
     private static final int CONNECT_MS = 2000;
+    private static final long NEXT_LOOK_MS = 5;
 
     private final EventLoopGroup group;
     private final InetSocketAddress at;
@@ -90,6 +92,8 @@
     public synchronized void refuse(boolean refuses) throws InterruptedException {
         if (refuses) {
             listener.close().sync();
+            // Guards against a port that listens on: Java lets go of a socket only in its selector's next look.
+            listener.eventLoop().schedule(() -> { }, NEXT_LOOK_MS, TimeUnit.MILLISECONDS).sync();
         } else if (!listener.isOpen()) {
             listen();
         }
