--- a/src/main/java/tinroad/cli/LabCommand.java
+++ b/src/main/java/tinroad/cli/LabCommand.java
@@ -7,7 +7,6 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
@@ -121,9 +120,7 @@
             return report;
         } finally {
             if (left == null) {
-                try (Stream<Path> all = Files.walk(work)) {
-                    all.sorted(Comparator.reverseOrder()).forEach(p -> p.toFile().delete());
-                }
+                Lab.delete(work);
             }
         }
     }
--- a/src/main/java/tinroad/lab/Lab.java
+++ b/src/main/java/tinroad/lab/Lab.java
@@ -180,7 +180,7 @@
         for (Member m : members) {
             // Guards against the logs of an earlier run in this folder: they tell of another's good health.
             delete(m.folder);
-            begin(m, false);
+            begin(m, false, options.jar);
         }
         awaitListed();
         double beginning = now() + 200;
@@ -372,28 +372,11 @@
     // --- processes ---
 
     /** Starts a process of this gateway; off the event loop. */
-    private void begin(Member m, boolean cold) {
-        try {
-            write(m, cold);
-            GatewayProcess process = GatewayProcess.start(options.jar, m.folder);
-            started(m, process);
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
-        }
-    }
-
-    private void begin(Member m, String jar) {
-        try {
-            write(m, true);
-            started(m, GatewayProcess.start(jar.isEmpty() ? options.jar : jar, m.folder));
-        } catch (IOException e) {
-            loop.execute(() -> ledger.strange.add("gateway " + m.number + " can't be started again: " + e.getMessage()));
-        }
-    }
-
-    private void started(Member m, GatewayProcess process) {
+    private void begin(Member m, boolean cold, String jar) throws IOException {
+        write(m, cold);
+        GatewayProcess process = GatewayProcess.start(jar, m.folder);
         loop.execute(() -> {
-            Life life = ledger.begins(m.number, now());
+            Life life = ledger.begins(m.number);
             m.life = life;
             m.process = process;
             world.lives(m.number, life.number);
@@ -616,7 +599,12 @@
             ended(now());
             keepers.execute(() -> {
                 folder(m, hit.trouble().folder());
-                begin(m, hit.trouble().jar());
+                String jar = hit.trouble().jar();
+                try {
+                    begin(m, true, jar.isEmpty() ? options.jar : jar);
+                } catch (IOException e) {
+                    loop.execute(() -> ledger.strange.add("gateway " + m.number + " can't be started again: " + e.getMessage()));
+                }
             });
             if (!m.engine.up()) {
                 agenda.at(now() + ENGINE_AFTER, () -> {
@@ -654,7 +642,8 @@
         }
     }
 
-    private static void delete(Path folder) throws IOException {
+    /** Deletes a folder and all in it, if it is there. */
+    public static void delete(Path folder) throws IOException {
         if (Files.exists(folder)) {
             try (Stream<Path> all = Files.walk(folder)) {
                 for (Path p : all.sorted(Comparator.reverseOrder()).toList()) {
--- a/src/main/java/tinroad/lab/Report.java
+++ b/src/main/java/tinroad/lab/Report.java
@@ -37,9 +37,11 @@
         this.outcome = outcome;
         plan = outcome.ledger().plan;
         measures = new Measures(outcome.ledger());
-        broken = Rules.judge(outcome.ledger());
+        Rules.Verdict verdict = Rules.judge(outcome.ledger());
+        broken = verdict.broken();
         fates = Rules.fates(outcome.ledger(), broken);
         fill();
+        put("excused_tries", (long) verdict.excused());
     }
 
     private void fill() {
@@ -72,7 +74,6 @@
         put("cpu_left", outcome.cpuLeft());
         put("counts", outcome.counts());
         put("broken", (long) broken.size());
-        put("excused_tries", (long) Rules.excused(ledger));
     }
 
     private void put(String name, Object value) {
--- a/src/main/java/tinroad/lab/stand/Cores.java
+++ b/src/main/java/tinroad/lab/stand/Cores.java
@@ -3,9 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.PriorityQueue;
 import tinroad.lab.script.Script;
 
@@ -24,7 +22,6 @@
     private final int cores;
     private final double speed;
     private final PriorityQueue<Job> jobs = new PriorityQueue<>(Comparator.comparingDouble(Job::endsAt).thenComparing(Job::id));
-    private final Map<String, Job> byId = new HashMap<>();
     private final ArrayDeque<Job> unread = new ArrayDeque<>();
     private int reading;
     private double now;
@@ -76,7 +73,6 @@
             // A hair's breadth: else rounding may leave the first job with a rest that takes no time.
             while (rate > 0 && !jobs.isEmpty() && jobs.peek().endsAt <= attained + 1e-9) {
                 Job job = jobs.poll();
-                byId.remove(job.id);
                 if (job.id.startsWith(READ)) {
                     reading--;
                     readNext();
@@ -90,9 +86,7 @@
 
     /** Begins work; the caller has advanced to now. */
     public void start(String id, double work) {
-        Job job = new Job(id, attained + work);
-        byId.put(id, job);
-        jobs.add(job);
+        jobs.add(new Job(id, attained + work));
     }
 
     /** A request, a check or a new connection comes, which costs this work to take in; the caller has advanced to now. */
@@ -109,11 +103,6 @@
         }
     }
 
-    /** Whether this work is under way. */
-    public boolean runs(String id) {
-        return byId.containsKey(id);
-    }
-
     /** How much waits to be read. */
     public int unread() {
         return unread.size();
@@ -124,7 +113,6 @@
         jobs.clear();
         unread.clear();
         reading = 0;
-        byId.clear();
     }
 
     /** Stops all work, or goes on with it. */
@@ -151,9 +139,4 @@
     public double done() {
         return done;
     }
-
-    /** How many cores. */
-    public int count() {
-        return cores;
-    }
 }
--- a/src/main/java/tinroad/lab/truth/Ledger.java
+++ b/src/main/java/tinroad/lab/truth/Ledger.java
@@ -26,7 +26,6 @@
     public static final class Life {
         public final int gateway;
         public final int number;
-        public final double startedAt;
         public double noticedAt = Double.NaN;
         public double endedAt = Double.NaN;
         public int exit = -1;
@@ -37,10 +36,9 @@
         private double[] sums = new double[2];
         private int[] counts = new int[2];
 
-        Life(int gateway, int number, double startedAt) {
+        Life(int gateway, int number) {
             this.gateway = gateway;
             this.number = number;
-            this.startedAt = startedAt;
         }
 
         /** A look at the process, {@code part} of the day gone: its second and last fifths tell whether memory grows. */
@@ -87,8 +85,8 @@
     }
 
     /** Another life of a gateway. */
-    public Life begins(int gateway, double at) {
-        Life life = new Life(gateway, (int) lives.stream().filter(l -> l.gateway == gateway).count(), at);
+    public Life begins(int gateway) {
+        Life life = new Life(gateway, (int) lives.stream().filter(l -> l.gateway == gateway).count());
         lives.add(life);
         return life;
     }
--- a/src/main/java/tinroad/lab/truth/Rules.java
+++ b/src/main/java/tinroad/lab/truth/Rules.java
@@ -46,20 +46,22 @@
     private int excused;
     private final Map<String, Set<String>> results = new HashMap<>();
 
+    /**
+     * The verdict of a day.
+     *
+     * @param broken all that is broken
+     * @param excused tries that had no answer in time, and are no broken rule as the script took them, or a close crossed them
+     */
+    public record Verdict(List<Broken> broken, int excused) { }
+
     private Rules(Ledger ledger) {
         this.ledger = ledger;
     }
 
-    /** All that is broken. */
-    public static List<Broken> judge(Ledger ledger) {
-        return new Rules(ledger).judge();
-    }
-
-    /** How many tries had no answer in time, and are no broken rule as the script took them, or a close crossed them. */
-    public static int excused(Ledger ledger) {
+    /** Judges a day, once. */
+    public static Verdict judge(Ledger ledger) {
         Rules rules = new Rules(ledger);
-        rules.judge();
-        return rules.excused;
+        return new Verdict(rules.judge(), rules.excused);
     }
 
     /** The count of the fates. */
--- a/src/main/java/tinroad/node/Server.java
+++ b/src/main/java/tinroad/node/Server.java
@@ -66,7 +66,7 @@
         gateway = new Gateway(config.site(), config.seed(), clock, this::after, engine, OverloadController::new,
                 LoggerFactory.getLogger("gateway"));
         front = new FastCgiFront(clock, gateway, config.sockets(), config.memoryMb());
-        rereads = new Rereads(config.seed());
+        rereads = new Rereads(config.name(), config.seed());
         roster = new RosterReporter(loop, config.roster(), config.name(), config.seed());
         gateway.add(front);
         gateway.onHealth(this::health);
--- a/src/main/java/tinroad/recovery/Pace.java
+++ b/src/main/java/tinroad/recovery/Pace.java
@@ -13,7 +13,7 @@
 
     /** Gaps of {@code period} more or less {@code spread}, a share of it. */
     public Pace(String name, long seed, double period, double spread) {
-        random = new SplittableRandom(seed ^ (long) name.hashCode() << Integer.SIZE);
+        random = Draws.of(name, seed);
         this.period = period;
         this.spread = spread;
     }
--- a/src/main/java/tinroad/recovery/Reconnects.java
+++ b/src/main/java/tinroad/recovery/Reconnects.java
@@ -18,7 +18,7 @@
 
     /** Gaps from {@code first} to {@code cap}, drawn by what tells this gateway from all others. */
     public Reconnects(String name, long seed, double first, double cap) {
-        random = new SplittableRandom(seed ^ (long) name.hashCode() << Integer.SIZE);
+        random = Draws.of(name, seed);
         this.first = first;
         this.cap = cap;
         gap = first;
--- a/src/main/java/tinroad/recovery/Rereads.java
+++ b/src/main/java/tinroad/recovery/Rereads.java
@@ -4,9 +4,8 @@
 
 /**
  * When to read the configuration again without being told to, as the engine is gone and may have moved. Guards against
- * a signal that never came: it then costs seconds and not the day. While the engine stays away the readings grow rarer,
- * by decorrelated jitter (the next gap is drawn from the first one to three times the last one, up to a cap); the seed
- * keeps the gateways of a fleet, which all lost their engines at once, out of step. Owned by the thread that asks.
+ * a signal that never came: it then costs seconds and not the day. While the engine stays away the readings grow rarer, at
+ * the gaps of {@link Reconnects}, which keep the gateways of a fleet that all lost their engines at once out of step. Owned by the thread that asks.
  */
 public final class Rereads {
     /** So long, in ms, the engine is away before the first reading: links break and come back all the time. */
@@ -17,13 +16,14 @@
     public static final double CAP = 8000;
 
     private final SplittableRandom random;
+    private final Reconnects gaps;
     private boolean gone;
-    private double gap;
     private double nextAt;
 
-    /** Readings out of step with those of any other seed. */
-    public Rereads(long seed) {
-        random = new SplittableRandom(seed);
+    /** Readings out of step with those of any other name or seed. */
+    public Rereads(String name, long seed) {
+        random = Draws.of(name, seed);
+        gaps = new Reconnects(name, seed, FIRST, CAP);
     }
 
     /** Whether to read at {@code now}, in ms; asked again and again, {@code reached} telling whether the engine is there. */
@@ -34,14 +34,13 @@
         }
         if (!gone) {
             gone = true;
-            gap = FIRST;
+            gaps.alive();
             nextAt = now + FIRST + random.nextDouble(SPREAD);
         }
         if (now < nextAt) {
             return false;
         }
-        gap = Math.min(CAP, random.nextDouble(FIRST, 3 * gap));
-        nextAt = now + gap;
+        nextAt = now + gaps.next();
         return true;
     }
 }
--- a/src/test/java/tinroad/lab/truth/RulesTest.java
+++ b/src/test/java/tinroad/lab/truth/RulesTest.java
@@ -21,7 +21,7 @@
     @BeforeEach
     void empty() throws Exception {
         ledger = new Ledger(Plan.of(ScriptReader.read(Path.of("lab/first.conf")), 1));
-        ledger.begins(0, -1000);
+        ledger.begins(0);
     }
 
     /** A try of a read, sent at 1 s, run and served 50 ms later; due at 4.7 s. */
@@ -50,7 +50,7 @@
     }
 
     private void broken(Rule... rules) {
-        assertEquals(List.of(rules), Rules.judge(ledger).stream().map(Rules.Broken::rule).toList());
+        assertEquals(List.of(rules), Rules.judge(ledger).broken().stream().map(Rules.Broken::rule).toList());
     }
 
     @Test
@@ -68,13 +68,13 @@
     void aTryWithoutAnAnswerIsLostUnlessTheScriptTookIt() {
         Try lost = add("a", 0, true, this::unanswered);
         broken(Rule.LOST);
-        assertTrue(Rules.judge(ledger).get(0).way().get(1).contains("proxy 0: sent"));
+        assertTrue(Rules.judge(ledger).broken().get(0).way().get(1).contains("proxy 0: sent"));
         ledger.excuses.add(new Excuse(1, 0, 9000));
         broken(Rule.LOST);
-        assertEquals(0, Rules.excused(ledger));
+        assertEquals(0, Rules.judge(ledger).excused());
         ledger.excuses.add(new Excuse(0, 3000, 3500));
         broken();
-        assertEquals(1, Rules.excused(ledger));
+        assertEquals(1, Rules.judge(ledger).excused());
         ledger.excuses.clear();
         lost.brokenAt = 1049;
         broken();
@@ -136,15 +136,15 @@
         Script day = ledger.plan.script();
         ledger = new Ledger(Plan.of(new Script("", 60_000, 1000, day.fleet(), day.engine(), day.classes(), day.members(), day.subjects(),
                 day.callers(), day.load(), day.roster(), day.faults()), 1));
-        Ledger.Life warms = ledger.begins(0, 0);
-        Ledger.Life grows = ledger.begins(1, 0);
+        Ledger.Life warms = ledger.begins(0);
+        Ledger.Life grows = ledger.begins(1);
         for (double part = 0; part < 1; part += 0.01) {
             warms.seen(Math.min(70, 40 + 300 * part), 50, part);
             grows.seen(50 + 25 * part, 50, part);
         }
         broken(Rule.LIMIT);
         assertEquals(15, grows.grownMb(), 0.5);
-        assertEquals("gateway 1 grew by 15 MB over the day", Rules.judge(ledger).get(0).what());
+        assertEquals("gateway 1 grew by 15 MB over the day", Rules.judge(ledger).broken().get(0).what());
     }
 
     @Test
@@ -158,6 +158,6 @@
         broken(Rule.LIMIT);
         ledger.strange.add("what nobody knows");
         broken(Rule.LIMIT, Rule.STRANGE);
-        assertTrue(Rules.fates(ledger, Rules.judge(ledger)).toString().endsWith("lost 0, twice 0, wrong 0"));
+        assertTrue(Rules.fates(ledger, Rules.judge(ledger).broken()).toString().endsWith("lost 0, twice 0, wrong 0"));
     }
 }
--- a/src/test/java/tinroad/recovery/RereadsTest.java
+++ b/src/test/java/tinroad/recovery/RereadsTest.java
@@ -13,7 +13,7 @@
     private static final double LOOK = 250;
 
     private static List<Double> readings(long seed, double from, double to) {
-        Rereads rereads = new Rereads(seed);
+        Rereads rereads = new Rereads("n3", seed);
         List<Double> at = new ArrayList<>();
         for (double now = from; now < to; now += LOOK) {
             if (rereads.due(now, false)) {
@@ -25,7 +25,7 @@
 
     @Test
     void aLinkThatComesBackWithinASecondCausesNone() {
-        Rereads rereads = new Rereads(1);
+        Rereads rereads = new Rereads("n3", 1);
         for (double now = 0; now < 60_000; now += LOOK) {
             assertFalse(rereads.due(now, now % 1000 == 0), "at " + now);
         }
@@ -57,7 +57,7 @@
 
     @Test
     void theEnginesReturnStartsItAnew() {
-        Rereads rereads = new Rereads(3);
+        Rereads rereads = new Rereads("n3", 3);
         assertFalse(rereads.due(0, false));
         assertTrue(rereads.due(2000, false));
         assertFalse(rereads.due(2500, true));
