--- a/src/main/java/tinroad/Controller.java
+++ b/src/main/java/tinroad/Controller.java
@@ -1,6 +1,7 @@
 package tinroad;
 
 import java.util.List;
+import java.util.Map;
 
 /**
  * The interface of the overload controller: what a server tells it (the methods), what it may do
@@ -34,6 +35,14 @@
     /** A timer set with {@link Actions#timer} is due. */
     void timer(double now, String token, Gauges gauges);
 
+    /** What was learned so far, by name: all that a later life may begin with. */
+    default Map<String, Known> learned() {
+        return Map.of();
+    }
+
+    /** Begins with what an earlier life learned, faded by its age; called once, right after the start, or never. */
+    default void restore(Map<String, Known> known) { }
+
     /** What the controller may do. Every action takes effect at the time of the event being handled. */
     interface Actions {
         /** Starts a held request or resumes a paused one. */
@@ -79,6 +88,9 @@
         void log(String text);
     }
 
+    /** A learned value, in ms or as a part, and how many samples stand behind it. */
+    record Known(double value, double weight) { }
+
     /** How a run or a call ended. */
     enum Outcome { OK, FAILED, QUEUE_FULL, TIMED_OUT, CONNECT_ERROR, RESET, CANCELED, IGNORED }
 
--- /dev/null
+++ b/src/main/java/tinroad/Learned.java
@@ -0,0 +1,90 @@
+package tinroad;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** What the module has learned of its classes and callers: all that may outlive the process. Times in ms. */
+final class Learned {
+    /** What a remembered average weighs at most, in samples: the first ones of this life soon count more. */
+    private static final double MOST_WEIGHT = 4;
+    /** So many waits are remembered for each class. */
+    private static final int WAITS = 4;
+
+    /** What is measured of a class. */
+    static final class Of {
+        double run;
+        double calm;
+        double away;
+        double runs;
+        double calmRuns;
+        double asked;
+        double served;
+        final List<Patience> waits = new ArrayList<>();
+
+        Of(double first, double weight) {
+            run = first;
+            calm = first;
+            runs = weight;
+            calmRuns = weight;
+        }
+
+        /** A new wait displaces those that are seldom seen. */
+        void newWait(double wait) {
+            if (waits.size() < WAITS) {
+                waits.add(new Patience());
+                waits.get(waits.size() - 1).wait = wait;
+                return;
+            }
+            waits.forEach(p -> p.votes -= 1.0 / WAITS);
+            waits.removeIf(p -> p.votes <= 0);
+        }
+    }
+
+    /** A wait that fresh tries of a class come with, and how sure that is. */
+    static final class Patience {
+        double wait;
+        double votes = 1;
+    }
+
+    final Of[] of;
+    /** Part of the requests whose caller comes back while a calm server would keep its connection. */
+    double returning = 1;
+
+    /** Nothing yet: a run is assumed to take this part of its class's aim, which weighs so many samples. */
+    Learned(List<Controller.RequestClass> classes, double part, double weight) {
+        of = classes.stream().map(c -> new Of(part * c.aim(), weight)).toArray(Of[]::new);
+    }
+
+    /** All of it by name, each with the samples behind it: {@code run.0} is of the class at 0. */
+    Map<String, Controller.Known> export() {
+        Map<String, Controller.Known> all = new LinkedHashMap<>();
+        for (int i = 0; i < of.length; i++) {
+            all.put("run." + i, new Controller.Known(of[i].run, of[i].runs));
+            all.put("calm." + i, new Controller.Known(of[i].calm, of[i].calmRuns));
+        }
+        all.put("returning", new Controller.Known(returning, MOST_WEIGHT));
+        return all;
+    }
+
+    /** Begins with what an earlier life knew. Guards against what no class can be: that is left as it was. */
+    void restore(Map<String, Controller.Known> known) {
+        for (int i = 0; i < of.length; i++) {
+            Controller.Known run = known.get("run." + i);
+            Controller.Known calm = known.get("calm." + i);
+            if (usable(run)) {
+                of[i].run = run.value();
+                of[i].runs = Math.min(MOST_WEIGHT, run.weight());
+                // Guards against a slowdown where only one of the two is known: their ratio tells of it.
+                of[i].calm = usable(calm) ? calm.value() : Math.max(of[i].calm, of[i].run);
+            }
+        }
+        Controller.Known back = known.get("returning");
+        returning = usable(back) ? Math.min(1, back.value()) : returning;
+    }
+
+    private static boolean usable(Controller.Known k) {
+        return k != null && k.value() > 0 && k.value() < Double.MAX_VALUE && k.weight() > 0;
+    }
+}
--- a/src/main/java/tinroad/OverloadController.java
+++ b/src/main/java/tinroad/OverloadController.java
@@ -57,9 +57,8 @@
     private static final double STRETCH_CALM = 1.5;
     /** One run counts for so many of its class at most: a single giant is no slowdown. */
     private static final double STRETCH_CAP = 8;
-    /** Waits this near, in parts of the deadline, are one; so many are remembered for each class. */
+    /** Waits this near, in parts of the deadline, are one. */
     private static final double WAIT_SAME = 0.01;
-    private static final int WAITS = 4;
     /** Votes that make a wait a usual one, and the most that it keeps. */
     private static final double WAIT_KNOWN = 5;
     private static final double WAIT_VOTES = 20;
@@ -76,6 +75,9 @@
     private static final double WELL_AT = 0.15;
     /** Failed share over which checks hear of it: under it, leaving the list would lose what succeeds. */
     private static final double OFF_AT = 0.9;
+    /** Arrivals grown by this are retries of what fails elsewhere, too; so long, in ms, they take to tell. */
+    private static final double OTHERS_FAIL = 1.5;
+    private static final double OTHERS_TELL = 1000;
     /** Nothing ended for this many mean runs on any core, which no single giant does: the work hangs. */
     private static final double HANG_RUNS = 10;
     /** While shut, one probe is let in this often. */
@@ -95,6 +97,8 @@
     private static final double OVER_SPREAD = 2.5;
     /** Part of the longest advice that load alone may give: all of it sets callers swinging. */
     private static final double LOAD_ADVICE = 0.5;
+    /** The same while shut, spread over the callers up to all of it: told all alike they come as one. */
+    private static final double SHUT_ADVICE = 2.0 / 3;
     /** Marked retries beyond this part of the arrivals: others refuse too, so trying them again is no use. */
     private static final double RESENT_GENERAL = 0.2;
     /** Requests are read this late, in parts of their aims: reads and handshakes eat the cores. */
@@ -113,6 +117,7 @@
         final String id;
         final int cls;
         final int tenant;
+        final int caller;
         final double kb;
         final double arrived;
         final double due;
@@ -134,6 +139,7 @@
             id = r.id();
             cls = r.classIndex();
             tenant = r.tenant();
+            caller = r.caller();
             kb = r.memoryKb();
             arrived = now - r.age();
             due = told && r.due() > 0 ? r.due() : arrived + c.deadline();
@@ -145,40 +151,14 @@
         }
     }
 
-    /** What is measured of a class. */
-    private static final class ClassStats {
-        double run;
-        double calm;
-        double away;
-        double runs = FIRST_WEIGHT;
-        double calmRuns = FIRST_WEIGHT;
-        double asked;
-        double served;
-        final List<Patience> waits = new ArrayList<>();
-
-        ClassStats(double first) {
-            run = first;
-            calm = first;
-        }
-    }
-
-    /** A wait that fresh tries of a class come with, and how sure that is. */
-    private static final class Patience {
-        final double wait;
-        double votes = 1;
-
-        Patience(double wait) {
-            this.wait = wait;
-        }
-    }
-
     private final Actions act;
     private Settings set;
     private final Map<String, Work> all = new LinkedHashMap<>();
     private final List<Work> held = new ArrayList<>();
     private final List<Work> callQueue = new ArrayList<>();
     private final Map<String, Double> keys = new LinkedHashMap<>();
-    private ClassStats[] stats;
+    private Learned learned;
+    private Learned.Of[] stats;
     private double[] tenantRate;
     private double allRates;
     private double startedAt;
@@ -200,8 +180,10 @@
     private double idle;
     private double calmConnections;
     private double calmSweeps;
-    private double returning = 1;
     private final LinkedHashMap<Integer, Double> lastSeen = new LinkedHashMap<>();
+    private final Returns returns = new Returns();
+    private double sickAt;
+    private double ratesWhenSick;
     private double failing;
     private boolean sick;
     private boolean hung;
@@ -233,10 +215,8 @@
         clock = now;
         lastEnd = now;
         lastSweep = now;
-        stats = new ClassStats[settings.classes().size()];
-        for (int i = 0; i < stats.length; i++) {
-            stats[i] = new ClassStats(FIRST_RUN * settings.classes().get(i).aim());
-        }
+        learned = new Learned(settings.classes(), FIRST_RUN, FIRST_WEIGHT);
+        stats = learned.of;
         tenantRate = new double[Math.max(1, settings.tenants().size())];
         limit = Math.max(1, settings.cores() * RUNS_PER_CORE);
         idle = longestIdle();
@@ -245,6 +225,16 @@
         act.timer("tick", TICK);
     }
 
+    @Override
+    public Map<String, Known> learned() {
+        return learned.export();
+    }
+
+    @Override
+    public void restore(Map<String, Known> known) {
+        learned.restore(known);
+    }
+
     // --- admission ---
 
     @Override
@@ -284,7 +274,7 @@
         double wait = r.due() - now + r.age();
         double next = Double.MAX_VALUE;
         boolean known = false;
-        for (Patience p : stats[r.classIndex()].waits) {
+        for (Learned.Patience p : stats[r.classIndex()].waits) {
             if (Math.abs(wait - p.wait) <= WAIT_SAME * c.deadline()) {
                 p.votes = Math.min(WAIT_VOTES, p.votes + (r.resent() ? 0 : 1));
                 return 0;
@@ -293,28 +283,18 @@
             next = p.votes >= WAIT_KNOWN && p.wait > wait ? Math.min(next, p.wait) : next;
         }
         if (!r.resent()) {
-            newWait(stats[r.classIndex()].waits, wait);
+            stats[r.classIndex()].newWait(wait);
         }
         return known ? Math.max(0, Math.min(next, c.deadline()) - wait) : 0;
     }
 
-    /** A few waits are remembered for each class; a new one displaces those that are seldom seen. */
-    private static void newWait(List<Patience> waits, double wait) {
-        if (waits.size() < WAITS) {
-            waits.add(new Patience(wait));
-            return;
-        }
-        waits.forEach(p -> p.votes -= 1.0 / WAITS);
-        waits.removeIf(p -> p.votes <= 0);
-    }
-
     /** How many callers come back while a calm server would keep their connection; the rest are forgotten. */
     private void countReturn(double now, int caller) {
         Iterator<Double> oldest = lastSeen.values().iterator();
         while (oldest.hasNext() && oldest.next() < now - longestIdle()) {
             oldest.remove();
         }
-        returning += EWMA_CALM * ((lastSeen.remove(caller) != null ? 1 : 0) - returning);
+        learned.returning += EWMA_CALM * ((lastSeen.remove(caller) != null ? 1 : 0) - learned.returning);
         lastSeen.put(caller, now);
     }
 
@@ -575,11 +555,13 @@
         lastEnd = now;
         hung = false;
         failing += EWMA_OUTCOME * ((ok ? 0 : 1) - failing);
+        sickAt = sick ? sickAt : now;
+        ratesWhenSick = sick ? ratesWhenSick : rates();
         sick = failing > (sick ? WELL_AT : SICK_AT);
         if (!ok) {
             return;
         }
-        ClassStats s = stats[w.cls];
+        Learned.Of s = stats[w.cls];
         s.away += EWMA_RUN * (w.away - s.away);
         double sample = Math.max(1, coreTime - w.servedAtStart);
         s.run = blend(s.run, sample, Math.max(EWMA_RUN, 1 / ++s.runs));
@@ -760,6 +742,7 @@
         boolean local = closed || slowdown() > SLOW_RATIO;
         double most = set.passesStayAway() ? set.maxStayAway() * (local ? 1 : LOAD_ADVICE) : 0;
         double away = closed ? most : Math.min(most, ahead(0) * onCore() / set.cores() + clock - w.arrived);
+        away = shut() && most > 0 ? returns.tell(w.caller, clock, SHUT_ADVICE * most, most) : away;
         w.answered = true;
         boolean general = !set.marksRetry() || w.resent || resentPart > RESENT_GENERAL;
         act.refuse(w.id, away, !local && general);
@@ -921,7 +904,7 @@
     /** Idle time when calm: where callers seldom come back, their connections are not worth keeping. */
     private double calmIdle() {
         return Math.max(Math.min(IDLE_LEAST / IDLE_FLOOR, longestIdle()),
-                longestIdle() * Math.min(1, returning / RETURNS_FULL));
+                longestIdle() * Math.min(1, learned.returning / RETURNS_FULL));
     }
 
     private double idleFloor() {
@@ -936,7 +919,7 @@
     private double slowdown() {
         double run = 0;
         double calm = 0;
-        for (ClassStats s : stats) {
+        for (Learned.Of s : stats) {
             run += s.run;
             calm += s.calm;
         }
@@ -948,13 +931,24 @@
             shutLogged = shut();
             act.log(!shutLogged ? "open again" : (hung ? "nothing ends" : "runs fail") + ": admission shut");
         }
-        boolean now = !hung && !(sick && failing > OFF_AT) && drainAt == Double.MAX_VALUE;
+        boolean fails = sick && failing > OFF_AT && !othersFail();
+        boolean now = !hung && !fails && drainAt == Double.MAX_VALUE;
         if (now != good) {
             good = now;
             act.health(good, true);
         }
     }
 
+    /** Guards against a fleet that leaves the list as one when what lies behind all of them fails. */
+    private boolean othersFail() {
+        return clock - sickAt < OTHERS_TELL || rates() > OTHERS_FAIL * ratesWhenSick;
+    }
+
+    /** Arrivals a second, lately; soon after the start, since then. */
+    private double rates() {
+        return allRates / (1 - Math.exp(-Math.max(1, clock - startedAt) / RATE_SPAN));
+    }
+
     /**
      * Moves the clock, the averages by time, and the work done by each core so far. Off the callers' lists
      * nothing comes that could prove a failing server well, so while nothing ends the evidence fades.
@@ -975,7 +969,7 @@
         failing *= sick && clock - lastEnd > RATE_SPAN ? fadeRate : 1;
         sick &= failing > WELL_AT;
         double fadeServed = Math.exp(-passed / SERVED_SPAN);
-        for (ClassStats s : stats) {
+        for (Learned.Of s : stats) {
             s.asked *= fadeServed;
             s.served *= fadeServed;
         }
--- a/src/main/java/tinroad/cli/Check.java
+++ b/src/main/java/tinroad/cli/Check.java
@@ -7,6 +7,7 @@
 import tinroad.fastcgi.FastCgiFront;
 import tinroad.node.Server;
 import tinroad.operator.Operator;
+import tinroad.operator.StateSettings;
 
 /** {@code check}: reads configuration and operator file and says whether a gateway could start with them. */
 public final class Check extends GatewayCommand {
@@ -28,7 +29,7 @@
             if (FastCgiFront.taken(config.listen(), false)) {
                 throw new IOException("can't listen on " + config.listen() + ": another process does");
             }
-            try (Server server = new Server(config, null)) {
+            try (Server server = new Server(config, null, StateSettings.NONE)) {
                 server.start();
                 server.leave();
             }
--- a/src/main/java/tinroad/cli/FiguresCall.java
+++ b/src/main/java/tinroad/cli/FiguresCall.java
@@ -21,6 +21,12 @@
     @Option(name = "--control", metaVar = "ADDRESS:PORT", required = true, usage = "the gateway's operators' door")
     private String control;
 
+    /** What is wanted. */
+    enum What { ANSWERS, RECOVERY }
+
+    @Option(name = "--of", usage = "answers: what it has done so far; recovery: how it comes back, and what it remembers")
+    private What what = What.ANSWERS;
+
     @Option(name = "--output", usage = "table or json")
     private Output output = Output.TABLE;
 
@@ -34,13 +40,18 @@
     @Override
     int run(InputStream in, PrintStream out, PrintStream err) {
         try {
-            HttpRequest call = HttpRequest.newBuilder(URI.create("http://" + control + "/api/telemetry")).timeout(PATIENCE).build();
+            HttpRequest call = HttpRequest.newBuilder(URI.create("http://" + control
+                    + (what == What.ANSWERS ? "/api/telemetry" : "/api/recovery"))).timeout(PATIENCE).build();
             HttpResponse<byte[]> answer = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).connectTimeout(PATIENCE)
                     .build().send(call, HttpResponse.BodyHandlers.ofByteArray());
             JsonNode figures = new ObjectMapper().readTree(answer.body());
-            if (answer.statusCode() != 200 || !figures.path("success").isObject()) {
+            if (answer.statusCode() != 200 || !figures.path("success").isObject() && !figures.path("phase").isTextual()) {
                 throw new IOException("status " + answer.statusCode() + ", no figures");
             }
+            if (what == What.RECOVERY) {
+                recovery(figures, out);
+                return FINE;
+            }
             List<List<Object>> rows = new ArrayList<>();
             figures.get("success").fieldNames().forEachRemaining(name -> rows.add(List.of(name,
                     figures.at("/success/" + name).asLong(), figures.at("/busy/" + name).asLong(),
@@ -57,4 +68,17 @@
         }
         return FAILED;
     }
+
+    /** The phase and its reasons first, then each value of an earlier life that this one began with. */
+    private void recovery(JsonNode figures, PrintStream out) {
+        List<List<Object>> rows = new ArrayList<>();
+        figures.properties().forEach(f -> {
+            if (f.getValue().isValueNode()) {
+                rows.add(List.of(f.getKey(), f.getValue().isNull() ? "-" : f.getValue().asText()));
+            }
+        });
+        figures.path("remembered").forEach(r -> rows.add(List.of("remembered " + r.path("what").asText(), r.path("value").asDouble()
+                + ", " + r.path("age_ms").asLong() / 1000 + " s old, of life " + r.path("life").asLong())));
+        output.print(List.of("what", "is"), rows, out);
+    }
 }
--- a/src/main/java/tinroad/cli/LabCommand.java
+++ b/src/main/java/tinroad/cli/LabCommand.java
@@ -29,6 +29,7 @@
     enum Act { RUN, COMPARE, LIST }
 
     private static final String SCRIPTS = "lab";
+    private static final String NONE = "none";
     private static final String ENDING = ".conf";
 
     @Argument(index = 0, metaVar = "run|compare|list", required = true, usage = "play a script, compare two programs by it, or list the scripts that ship")
@@ -46,6 +47,9 @@
     @Option(name = "--jar", metaVar = "FILE", usage = "the gateways' program (default: this one); compare: given twice")
     private List<String> jars = new ArrayList<>();
 
+    @Option(name = "--operator", metaVar = "FILE", usage = "the gateways' operator file (default: none); compare: given twice, none stands for none")
+    private List<String> operators = new ArrayList<>();
+
     @Option(name = "--out", metaVar = "DIR", usage = "where results, charts and the gateways' folders are left (default: nowhere)")
     private String folder;
 
@@ -110,9 +114,21 @@
         }
     }
 
-    private Report once(Script played, long number, String jar, Path left, PrintStream progress) throws IOException, InterruptedException {
+    private String jar(int program) {
+        return jars.isEmpty() ? self() : jars.get(program);
+    }
+
+    private Path operator(int program) {
+        String file = program < operators.size() ? operators.get(program) : NONE;
+        if (!file.equals(NONE) && !Files.isReadable(Path.of(file))) {
+            throw new IllegalArgumentException("--operator " + file + ": can't be read");
+        }
+        return file.equals(NONE) ? null : Path.of(file);
+    }
+
+    private Report once(Script played, long number, int program, Path left, PrintStream progress) throws IOException, InterruptedException {
         Path work = left == null ? Files.createTempDirectory("tinroad-lab") : left;
-        try (Lab lab = new Lab(Plan.of(played, number), new Lab.Options(jar, work, progress, World.Mutant.NONE))) {
+        try (Lab lab = new Lab(Plan.of(played, number), new Lab.Options(jar(program), work, operator(program), progress, World.Mutant.NONE))) {
             Report report = new Report(lab.play());
             if (left != null) {
                 report.write(left);
@@ -126,7 +142,7 @@
     }
 
     private int play(PrintStream out, PrintStream err) throws IOException, InterruptedException, OperatorException {
-        Report report = once(script(), seed, jars.isEmpty() ? self() : jars.get(0), folder == null ? null : Path.of(folder), err);
+        Report report = once(script(), seed, 0, folder == null ? null : Path.of(folder), err);
         if (output == Output.JSON) {
             out.println(report.line());
         } else {
@@ -160,11 +176,11 @@
         int to = Integer.parseInt(seeds.replaceAll(".*\\.", ""));
         for (int number = from; number <= to; number++) {
             Map<String, Report> both = new LinkedHashMap<>();
-            for (String jar : jars) {
-                Report report = once(played, number, jar, null, null);
+            for (int program = 0; program < jars.size(); program++) {
+                Report report = once(played, number, program, null, null);
                 broken += report.broken().size();
                 both.put(both.isEmpty() ? "a" : "b", report);
-                err.println("seed " + number + ", " + jar + ": " + report.fates()
+                err.println("seed " + number + ", " + jars.get(program) + ": " + report.fates()
                         + ((boolean) report.figures().get("counts") ? "" : "; late: does not count"));
             }
             comparison.add(both.get("a"), both.get("b"));
--- a/src/main/java/tinroad/cli/Serve.java
+++ b/src/main/java/tinroad/cli/Serve.java
@@ -10,6 +10,7 @@
 import tinroad.node.Server;
 import tinroad.operator.Operator;
 import tinroad.operator.OperatorException;
+import tinroad.operator.StateSettings;
 
 /** {@code serve}: one real gateway, until it is told to leave. SIGHUP has it read its files again. */
 public final class Serve extends GatewayCommand {
@@ -25,7 +26,8 @@
     @Override
     void run(GatewayConfig config, Operator operator, PrintStream out) throws IOException, InterruptedException {
         LogSink sink = LogSink.of(operator);
-        try (Server server = new Server(config, System.getenv("TMPDIR"))) {
+        try (Server server = new Server(config, System.getenv("TMPDIR"),
+                operator == null ? StateSettings.NONE : operator.state())) {
             // Before anything can reach this process: a virtual machine that nobody handles the signals for ends on them.
             if (!leaveOnNotice(server, sink)) {
                 return;
--- a/src/main/java/tinroad/control/ControlCall.java
+++ b/src/main/java/tinroad/control/ControlCall.java
@@ -23,11 +23,15 @@
 import java.io.OutputStream;
 import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.IntToLongFunction;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import tinroad.core.Figures;
+import tinroad.core.Memory;
+import tinroad.recovery.Comeback;
 import tinroad.core.Gateway;
 
 /** One connection of an operator: one call, its answer, and the end. */
@@ -70,7 +74,7 @@
         }
         String path = new QueryStringDecoder(call.uri()).path();
         HttpMethod method = switch (path) {
-            case "/api/ready", "/api/telemetry" -> HttpMethod.GET;
+            case "/api/ready", "/api/telemetry", "/api/recovery" -> HttpMethod.GET;
             case "/api/evacuate", "/api/rejoin" -> HttpMethod.POST;
             default -> null;
         };
@@ -86,6 +90,7 @@
             case "/api/ready" -> gateway.ready() ? text(HttpResponseStatus.OK, "ready")
                     : text(HttpResponseStatus.SERVICE_UNAVAILABLE, "not ready");
             case "/api/telemetry" -> figures();
+            case "/api/recovery" -> recovery();
             case "/api/evacuate" -> {
                 gateway.evacuate();
                 yield text(HttpResponseStatus.OK, "draining");
@@ -113,6 +118,46 @@
         return response(HttpResponseStatus.OK, "application/json", body);
     }
 
+    /** How the gateway comes back, and what it began with of earlier lives. */
+    private FullHttpResponse recovery() {
+        Comeback c = gateway.comeback();
+        ByteBuf body = Unpooled.buffer();
+        try (JsonGenerator json = JSON.createGenerator((OutputStream) new ByteBufOutputStream(body))) {
+            json.writeStartObject();
+            json.writeStringField("phase", c.phase().name().toLowerCase(Locale.ROOT));
+            json.writeNumberField("since_ms", Math.round(gateway.now() - c.since()));
+            json.writeStringField("why", c.why());
+            number(json, "shown_per_s", c.shown());
+            number(json, "full_after_ms", c.fullAfter());
+            json.writeNumberField("life", gateway.memory().life());
+            json.writeStringField("began", gateway.memory().begins());
+            json.writeArrayFieldStart("remembered");
+            for (Map.Entry<String, Memory.Recalled> e : gateway.recalled().entrySet()) {
+                json.writeStartObject();
+                json.writeStringField("what", e.getKey());
+                json.writeNumberField("value", e.getValue().known().value());
+                json.writeNumberField("age_ms", Math.round(e.getValue().age()));
+                json.writeNumberField("life", e.getValue().life());
+                json.writeEndObject();
+            }
+            json.writeEndArray();
+            json.writeEndObject();
+        } catch (IOException e) {
+            // Can't happen: the buffer is memory, and grows as needed.
+            throw new UncheckedIOException(e);
+        }
+        return response(HttpResponseStatus.OK, "application/json", body);
+    }
+
+    /** JSON has no infinite number and none that is absent: null stands for both. */
+    private static void number(JsonGenerator json, String name, double value) throws IOException {
+        if (Double.isFinite(value)) {
+            json.writeNumberField(name, Math.round(10 * value) / 10.0);
+        } else {
+            json.writeNullField(name);
+        }
+    }
+
     private static void byClass(JsonGenerator json, String name, Figures figures, IntToLongFunction count)
             throws IOException {
         json.writeObjectFieldStart(name);
--- a/src/main/java/tinroad/core/Gateway.java
+++ b/src/main/java/tinroad/core/Gateway.java
@@ -7,6 +7,7 @@
 import tinroad.Controller.Semantics;
 import tinroad.Controller.Settings;
 import tinroad.config.Site;
+import tinroad.recovery.Comeback;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import java.util.ArrayDeque;
@@ -35,6 +36,8 @@
     static final double SAME_START = 1000;
     /** A time of arrival further off than this, in ms, either way, is no time of arrival. */
     static final double FAR_OFF = 60_000;
+    /** Part of its class's aim that a run is expected to take, by what is known before any has ended. */
+    private static final double USUAL_RUN = 0.25;
     private static final Gauges NO_GAUGES = new Gauges(Double.NaN, Double.NaN, Double.NaN, Double.NaN);
 
     private final Site site;
@@ -59,6 +62,9 @@
     private final List<Front> fronts = new ArrayList<>();
     private HealthListener healthListener = good -> { };
     private final Figures figures;
+    private Comeback comeback;
+    private Memory memory = Memory.NONE;
+    private Map<String, Memory.Recalled> recalled = Map.of();
     private boolean handling;
     private boolean started;
     private boolean open;
@@ -104,6 +110,94 @@
         for (String name : site.tenantNames()) {
             tenantIndex.put(name, tenantIndex.size());
         }
+        comesBack(false);
+    }
+
+    /**
+     * How this life begins; called before anything else, or not at all.
+     *
+     * @param distrusts what was remembered is not believed, and a seasoned engine is watched as one that was started
+     */
+    public void comesBack(boolean distrusts) {
+        double quickest = site.settings().classes().stream().mapToDouble(Controller.RequestClass::aim).min().orElse(1);
+        comeback = new Comeback(clock.now(), site.settings().cores(), USUAL_RUN * quickest, distrusts);
+    }
+
+    /** What lasted of earlier lives; called before the engine is there, or not at all. */
+    public void remembers(Memory before) {
+        memory = before;
+        double now = clock.now();
+        before.ran().forEach((id, due) -> {
+            if (due > now) {
+                ran.put(id, due);
+            }
+        });
+        if (before.evacuated()) {
+            evacuate();
+        }
+    }
+
+    /** How it comes back. */
+    public Comeback comeback() {
+        return comeback;
+    }
+
+    /** The time now, in Unix ms. */
+    public double now() {
+        return clock.now();
+    }
+
+    /** Where the memory of earlier lives is from. */
+    public Memory memory() {
+        return memory;
+    }
+
+    /** What of earlier lives this one began with, by name. */
+    public Map<String, Memory.Recalled> recalled() {
+        return recalled;
+    }
+
+    /** What this life has learned, by name; empty before the engine was there. */
+    public Map<String, Controller.Known> learned() {
+        Map<String, Controller.Known> named = new LinkedHashMap<>();
+        if (started) {
+            controller.learned().forEach((name, known) -> named.put(withClass(name), known));
+        }
+        return named;
+    }
+
+    /** Ids that ran or may have, with their due times in Unix ms. */
+    public Map<String, Double> ranIds() {
+        Map<String, Double> all = new LinkedHashMap<>(ran);
+        requests.values().stream().filter(r -> r.progress != Progress.NOT_SENT).forEach(r -> all.put(r.id, r.due));
+        return all;
+    }
+
+    /** Whether operators had it taken off the list. */
+    public boolean evacuated() {
+        return evacuated;
+    }
+
+    /** The module names a class by its place, {@code run.0}; what outlives it goes by the class's name. */
+    private String withClass(String name) {
+        int dot = name.indexOf('.');
+        return dot < 0 ? name : name.substring(0, dot + 1) + site.classNames().get(Integer.parseInt(name.substring(dot + 1)));
+    }
+
+    private void restore() {
+        Map<String, Controller.Known> own = controller.learned();
+        Map<String, Controller.Known> priors = new LinkedHashMap<>();
+        own.forEach((name, known) -> priors.put(withClass(name), known));
+        recalled = memory.recall(priors, clock.now());
+        Map<String, Controller.Known> known = new LinkedHashMap<>();
+        own.keySet().stream().filter(name -> recalled.containsKey(withClass(name)))
+                .forEach(name -> known.put(name, recalled.get(withClass(name)).known()));
+        if (!known.isEmpty()) {
+            controller.restore(known);
+            recalled.forEach((name, r) -> log.debug("remembered: {} = {}, of life {}, {} s old", name, r.known().value(),
+                    r.life(), Math.round(r.age() / 1000)));
+        }
+        memory.begun(learned());
     }
 
     /** Adds a front; all are added before the first request. */
@@ -214,6 +308,7 @@
         tell(() -> controller.request(now, new Controller.Request(in.id(), cls, tenant, in.caller(), in.memoryKb(), 0,
                 age, in.rank(), 0, in.key(), repeated, false, c.semantics() != Semantics.FREE)));
         request.ownBody();
+        comeback.asked(!request.answered || request.progress != Progress.NOT_SENT || request.repeats != null);
     }
 
     /** The answer to a request that never enters the table. */
@@ -250,7 +345,11 @@
             started = true;
             log.info("engine attached: {}, up for {} ms", fresh ? "fresh" : "seasoned", Math.round(startedAgo));
             timers.after(GUARD_PERIOD, this::guard);
-            tell(() -> controller.start(clock.now(), seed, site.settings()));
+            comeback.engine(clock.now(), fresh);
+            tell(() -> {
+                controller.start(clock.now(), seed, site.settings());
+                restore();
+            });
             // Guards against a notice to leave that came before the engine: the module has to know it too.
             if (draining) {
                 tell(() -> controller.drain(drainedAt, leaveAt));
@@ -258,6 +357,7 @@
             return;
         }
         log.info("engine attached again{}", anotherEngine ? ": another one, up for " + Math.round(startedAgo) + " ms" : "");
+        comeback.engine(clock.now(), anotherEngine);
         doubtRuns();
         // A copy: guards against turning round here while the link breaks anew, which puts each one back.
         List<Request> waiting = List.copyOf(unsent);
@@ -305,6 +405,9 @@
         conclude(r, end == Engine.End.DONE ? result : null);
         finish(r, end == Engine.End.DONE ? Answer.served(result) : Answer.failed(r.progress));
         requests.remove(id);
+        if (end == Engine.End.DONE) {
+            comeback.ended(clock.now(), took, USUAL_RUN * site.settings().classes().get(r.cls).aim());
+        }
         // Guards a caller's id against others that name it first, with what the engine does not know.
         if (end != Engine.End.REJECTED) {
             remember(r);
@@ -337,6 +440,7 @@
         draining = true;
         drainedAt = noticedAt;
         leaveAt = leavingAt;
+        comeback.draining(noticedAt);
         log.info("draining: {} requests in hand, {} ms left", requests.size(), Math.round(leaveAt - clock.now()));
         if (started) {
             tell(() -> controller.drain(drainedAt, leaveAt));
@@ -405,6 +509,7 @@
             }
         }
         ran.values().removeIf(due -> due < now);
+        comeback.tick(now);
         repeats.expire(now);
     }
 
--- /dev/null
+++ b/src/main/java/tinroad/core/Memory.java
@@ -0,0 +1,59 @@
+package tinroad.core;
+
+import tinroad.Controller.Known;
+import java.util.Map;
+
+/** What an earlier life of this gateway left, for the one that begins. */
+public interface Memory {
+    /**
+     * A value that is used again.
+     *
+     * @param known faded by its age
+     * @param age ms since it was last true, at the moment of its use
+     * @param life that learned it
+     */
+    record Recalled(Known known, double age, long life) { }
+
+    /** What may be used at {@code now}, Unix ms, of what this life would begin with otherwise, {@code priors}. */
+    Map<String, Recalled> recall(Map<String, Known> priors, double now);
+
+    /** The life has begun, with these values: some recalled, the others assumed. */
+    void begun(Map<String, Known> values);
+
+    /** Ids that ran or may have, with their due times in Unix ms: none may run again. */
+    Map<String, Double> ran();
+
+    /** Whether operators had the gateway taken off the list. */
+    boolean evacuated();
+
+    /** The number of this life; 0 where nothing lasts. */
+    long life();
+
+    /** How the life began, for operators. */
+    String begins();
+
+    /** A gateway of which nothing lasts. */
+    Memory NONE = new Memory() {
+        @Override public Map<String, Recalled> recall(Map<String, Known> priors, double now) {
+            return Map.of();
+        }
+
+        @Override public void begun(Map<String, Known> values) { }
+
+        @Override public Map<String, Double> ran() {
+            return Map.of();
+        }
+
+        @Override public boolean evacuated() {
+            return false;
+        }
+
+        @Override public long life() {
+            return 0;
+        }
+
+        @Override public String begins() {
+            return "nothing lasts here";
+        }
+    };
+}
--- a/src/main/java/tinroad/lab/GatewayProcess.java
+++ b/src/main/java/tinroad/lab/GatewayProcess.java
@@ -47,12 +47,15 @@
         process = ProcessHandle.of(pid).orElse(null);
     }
 
-    /** Starts one; {@code program} is a jar, or a class path of several entries. */
-    static GatewayProcess start(String program, Path folder) throws IOException {
+    /** Starts one; {@code program} is a jar, or a class path of several entries; {@code operator} is its operator file, or null. */
+    static GatewayProcess start(String program, Path folder, Path operator) throws IOException {
         List<String> command = new ArrayList<>(List.of("sh", "-c", WATCH, "sh", folder.resolve("log").toString(),
                 Path.of(System.getProperty("java.home"), "bin", "java").toString()));
         command.addAll(FLAGS);
         command.addAll(List.of("-cp", program, "tinroad.cli.Main", "serve", "--config", folder.resolve("config.json").toString()));
+        if (operator != null) {
+            command.addAll(List.of("--operator", operator.toString()));
+        }
         ProcessBuilder builder = new ProcessBuilder(command).redirectError(new File("/dev/null"));
         builder.environment().put("TMPDIR", Files.createDirectories(folder.resolve("tmp")).toString());
         Process watch = builder.start();
--- a/src/main/java/tinroad/lab/Lab.java
+++ b/src/main/java/tinroad/lab/Lab.java
@@ -91,9 +91,10 @@
      *
      * @param jar the program of the gateways: a jar, or a class path
      * @param folder where the gateways' folders are made
+     * @param operator an operator file that each gateway gets a copy of, in its folder; null for none
      * @param progress gets a line a second; null for none
      */
-    public record Options(String jar, Path folder, PrintStream progress, Mutant mutant) { }
+    public record Options(String jar, Path folder, Path operator, PrintStream progress, Mutant mutant) { }
 
     /**
      * What came of it.
@@ -374,7 +375,8 @@
     /** Starts a process of this gateway; off the event loop. */
     private void begin(Member m, boolean cold, String jar) throws IOException {
         write(m, cold);
-        GatewayProcess process = GatewayProcess.start(jar, m.folder);
+        GatewayProcess process = GatewayProcess.start(jar, m.folder, options.operator == null ? null
+                : Files.copy(options.operator, m.folder.resolve("operator.conf"), StandardCopyOption.REPLACE_EXISTING));
         loop.execute(() -> {
             Life life = ledger.begins(m.number);
             m.life = life;
--- a/src/main/java/tinroad/lab/Report.java
+++ b/src/main/java/tinroad/lab/Report.java
@@ -17,6 +17,7 @@
 import tinroad.lab.truth.Ledger;
 import tinroad.lab.truth.Measures;
 import tinroad.lab.truth.Rules;
+import tinroad.lab.truth.Try;
 
 /** What is told of a run: figures by name, the broken rules, files and charts. */
 public final class Report {
@@ -117,7 +118,18 @@
         return line.toString();
     }
 
-    /** Writes result, windows, faults, the ways of what is broken, and charts into a folder. */
+    /** Every try on a line, in the order in which they were made: the way to the cause of what the figures show. */
+    private void tries(Path folder) throws IOException {
+        try (PrintWriter out = new PrintWriter(Files.newBufferedWriter(folder.resolve("tries.jsonl")))) {
+            for (Try t : outcome.ledger().tries) {
+                out.println(JSON.createObjectNode().put("request", t.request).put("try", t.number).put("proxy", t.proxy)
+                        .put("gateway", t.gateway).put("asked_ms", plan.requests().get(t.request).at()).put("sent_ms", t.sentAt)
+                        .put("ran_ms", t.ranAt).put("answered_ms", t.answeredAt).put("end", String.valueOf(t.end)));
+            }
+        }
+    }
+
+    /** Writes result, windows, tries, faults, the ways of what is broken, and charts into a folder. */
     public void write(Path folder) throws IOException {
         Files.createDirectories(folder);
         Files.writeString(folder.resolve("result.jsonl"), line() + "\n");
@@ -147,6 +159,7 @@
                 b.way().forEach(out::println);
             }
         }
+        tries(folder);
         Charts.draw(plan, measures, outcome.ledger().faultEnd, folder);
     }
 }
--- a/src/main/java/tinroad/node/Server.java
+++ b/src/main/java/tinroad/node/Server.java
@@ -8,6 +8,7 @@
 import tinroad.engine.EngineLink;
 import tinroad.fastcgi.FastCgiFront;
 import tinroad.log.Keys;
+import tinroad.operator.StateSettings;
 import tinroad.recovery.Rereads;
 import tinroad.roster.RosterReporter;
 import io.netty.channel.ChannelFuture;
@@ -47,6 +48,9 @@
     private final RosterReporter roster;
     private final Succession succession;
     private final Rereads rereads;
+    /** What lasts, or null where nothing does. */
+    private final Remembering remembering;
+    private final double saveEvery;
     private boolean shared;
     /** What came first: the listener, or the notice to leave. */
     private final AtomicReference<Begun> begun = new AtomicReference<>(Begun.NEITHER);
@@ -56,9 +60,14 @@
     private final CountDownLatch serving = new CountDownLatch(1);
     private final CountDownLatch ended = new CountDownLatch(1);
 
-    /** A gateway that shares {@code directory}, or null, with other processes under the same name. */
-    public Server(GatewayConfig config, String directory) {
+    /**
+     * A gateway that shares {@code directory}, or null, with other processes under the same name. Reads what lasted, and
+     * blocks for it.
+     */
+    public Server(GatewayConfig config, String directory, StateSettings state) {
         this.config = config;
+        remembering = state.lasts() ? Remembering.open(state, config.name(), clock.now()) : null;
+        saveEvery = state.every();
         engineAt = config.engine();
         rosterAt = config.roster();
         succession = new Succession(directory, config.name());
@@ -70,6 +79,16 @@
         roster = new RosterReporter(loop, config.roster(), config.name(), config.seed());
         gateway.add(front);
         gateway.onHealth(this::health);
+        gateway.comesBack(remembering != null && remembering.distrusts());
+        if (remembering != null) {
+            gateway.remembers(remembering);
+            after(saveEvery, this::save);
+        }
+    }
+
+    private void save() {
+        remembering.save(gateway);
+        after(saveEvery, this::save);
     }
 
     private void health(boolean good) {
@@ -177,6 +196,7 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
+        keep();
     }
 
     private void drain(double noticedAt) {
@@ -190,6 +210,9 @@
     private void endOnceEmpty() {
         if (gateway.allAnswered() && front.connections() == 0) {
             LOG.info("drained");
+            if (remembering != null) {
+                remembering.save(gateway);
+            }
             ended.countDown();
         } else {
             after(POLL_MS, this::endOnceEmpty);
@@ -221,8 +244,16 @@
         }
     }
 
+    /** What waits to be saved is saved. */
+    private void keep() {
+        if (remembering != null) {
+            remembering.close();
+        }
+    }
+
     @Override
     public void close() {
+        keep();
         succession.close();
         group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
     }
--- a/src/main/java/tinroad/operator/Operator.java
+++ b/src/main/java/tinroad/operator/Operator.java
@@ -10,14 +10,27 @@
  * What the operators set beyond the platform's configuration, read and checked once. What a file leaves out has the
  * value that the schema gives as its default.
  */
-public record Operator(LogSettings log) {
+public record Operator(LogSettings log, StateSettings state) {
 
-    /** Reads the file; throws with all that is wrong in it. */
+    /** Reads the file; throws with all that is wrong in it. A folder that it names is beside it, unless it is absolute. */
     public static Operator read(Path file) throws OperatorException {
-        Config log = CheckedFile.read(file, Operator.class).getConfig("log");
+        Config all = CheckedFile.read(file, Operator.class);
+        Config log = all.getConfig("log");
         Map<String, String> levels = new HashMap<>();
         log.getConfig("levels").root().forEach((name, level) -> levels.put(name, level.unwrapped().toString()));
+        Config state = all.getConfig("state");
         return new Operator(new LogSettings(log.getString("format").equals("json"), log.getString("level"),
-                Map.copyOf(levels), log.getInt("queue"), log.getDuration("flush", TimeUnit.NANOSECONDS) / 1e6));
+                Map.copyOf(levels), log.getInt("queue"), ms(log, "flush")),
+                new StateSettings(folder(file, state, "folder"), folder(file, state, "fence"), ms(state, "every"),
+                        state.getInt("keep"), ms(state, "oldest"), ms(state, "half-life")));
+    }
+
+    private static double ms(Config config, String key) {
+        return config.getDuration(key, TimeUnit.NANOSECONDS) / 1e6;
+    }
+
+    private static Path folder(Path file, Config config, String key) {
+        String name = config.getString(key);
+        return name.isEmpty() ? null : file.toAbsolutePath().resolveSibling(name);
     }
 }
--- /dev/null
+++ b/src/main/java/tinroad/recovery/Comeback.java
@@ -0,0 +1,138 @@
+package tinroad.recovery;
+
+/**
+ * The phases of one life of a gateway. An engine that was started, at the gateway's own start or
+ * later, is watched until it has shown what it can do; one that was up all the time is taken at its word, unless what this
+ * gateway remembers can't be trusted. Times in ms. Owned by one thread.
+ */
+public final class Comeback {
+    /** Where a gateway stands. */
+    public enum Phase {
+        /** The engine was never there: nothing is taken. */
+        STARTING,
+        /** The engine has shown nothing yet. */
+        COLD,
+        /** The engine shows more and more. */
+        RAMPING,
+        /** It has shown what it can do. */
+        FULL,
+        /** A notice to leave has come; what the engine shows changes nothing any more. */
+        DRAINING
+    }
+
+    private final int cores;
+    private final double usualRun;
+    private final boolean distrusts;
+    private Ramp ramp;
+    private Phase phase = Phase.STARTING;
+    private double since;
+    private double fullAfter = Double.NaN;
+    private double engineAt;
+    private String why = "the engine was never there";
+
+    /**
+     * A life that begins at {@code now}.
+     *
+     * @param usualRun ms that a run is expected to take, by what is known before any has ended
+     * @param distrusts what was remembered is not believed: an engine that was up all the time is watched, too
+     */
+    public Comeback(double now, int cores, double usualRun, boolean distrusts) {
+        this.cores = cores;
+        this.usualRun = usualRun;
+        this.distrusts = distrusts;
+        since = now;
+    }
+
+    /** The engine is there; {@code started} is whether that is a start of it which this gateway has not seen yet. */
+    public void engine(double now, boolean started) {
+        if (phase == Phase.DRAINING || phase != Phase.STARTING && !started) {
+            return;
+        }
+        engineAt = now;
+        if (started || distrusts) {
+            ramp = new Ramp(now, cores, usualRun);
+            become(Phase.COLD, now, started ? "the engine has started" : "what was remembered is not believed");
+        } else {
+            ramp = null;
+            fullAfter = 0;
+            become(Phase.FULL, now, "the engine was up all the time");
+        }
+    }
+
+    private void become(Phase next, double now, String reason) {
+        if (phase != next) {
+            phase = next;
+            since = now;
+        }
+        why = reason;
+    }
+
+    /** A request came, and was taken in or turned away. */
+    public void asked(boolean in) {
+        if (ramp != null) {
+            ramp.asked(in);
+        }
+    }
+
+    /** A run ended after {@code took}, where its class is expected to take {@code usual}. */
+    public void ended(double now, double took, double usual) {
+        if (ramp != null) {
+            ramp.ended(now, took, usual);
+            follow(now);
+        }
+    }
+
+    /** Time passes. */
+    public void tick(double now) {
+        if (ramp != null) {
+            ramp.tick(now);
+            follow(now);
+        }
+    }
+
+    private void follow(double now) {
+        if (phase == Phase.DRAINING) {
+            return;
+        }
+        switch (ramp.phase()) {
+            case COLD -> why = ramp.why();
+            case RAMPING -> become(Phase.RAMPING, now, ramp.why());
+            default -> {
+                fullAfter = now - engineAt;
+                become(Phase.FULL, now, ramp.why());
+                ramp = null;
+            }
+        }
+    }
+
+    /** The notice to leave has come. */
+    public void draining(double now) {
+        ramp = null;
+        become(Phase.DRAINING, now, "told to leave");
+    }
+
+    /** Where it stands. */
+    public Phase phase() {
+        return phase;
+    }
+
+    /** Since when. */
+    public double since() {
+        return since;
+    }
+
+    /** What the watched engine has shown itself good for, in requests a second; NaN while none is watched. */
+    public double shown() {
+        return ramp == null ? Double.NaN : ramp.bound();
+    }
+
+    /** Time from the engine's last start to the end of the watch; 0 where there was none, NaN while it is not over. */
+    public double fullAfter() {
+        return phase == Phase.COLD || phase == Phase.RAMPING ? Double.NaN : fullAfter;
+    }
+
+    /** Why it stands there, for operators. */
+    public String why() {
+        return why;
+    }
+}
--- a/src/main/java/tinroad/recovery/Ramp.java
+++ b/src/main/java/tinroad/recovery/Ramp.java
@@ -44,8 +44,6 @@
     private final double least;
     private Phase phase = Phase.COLD;
     private double rate;
-    private double credit;
-    private double creditAt;
     private double windowAt;
     private int taken;
     private int turnedAway;
@@ -67,28 +65,14 @@
         this.cores = cores;
         least = cores * 1000 / usualRun;
         rate = least;
-        credit = cores;
-        creditAt = now;
         windowAt = now;
         bestAt = now;
     }
 
-    /** Whether one more may be taken in now; what is not, is refused. */
-    public boolean take(double now) {
-        if (phase == Phase.FULL) {
-            return true;
-        }
-        // A bucket of a tenth of a second, and of a run for each core: no burst beyond it.
-        double room = Math.max(cores, rate / 10);
-        credit = Math.min(room, credit + (now - creditAt) * rate / 1000);
-        creditAt = now;
-        if (credit < 1) {
-            turnedAway++;
-            return false;
-        }
-        credit--;
-        taken++;
-        return true;
+    /** A request came, and was taken in or turned away. */
+    public void asked(boolean in) {
+        taken += in ? 1 : 0;
+        turnedAway += in ? 0 : 1;
     }
 
     /** A run ended after {@code took} ms, where its class usually takes {@code usual}. */
--- a/src/test/java/tinroad/LayersTest.java
+++ b/src/test/java/tinroad/LayersTest.java
@@ -37,7 +37,7 @@
                 .whereLayer("lab").mayOnlyBeAccessedByLayers("cli")
                 .whereLayer("edges").mayOnlyBeAccessedByLayers("cli", "node", "lab")
                 .whereLayer("core").mayOnlyBeAccessedByLayers("cli", "node", "edges", "lab")
-                .whereLayer("decisions").mayOnlyBeAccessedByLayers("cli", "node", "edges", "lab")
+                .whereLayer("decisions").mayOnlyBeAccessedByLayers("cli", "node", "edges", "lab", "core")
                 .whereLayer("settings").mayOnlyBeAccessedByLayers("cli", "node", "edges", "lab", "core", "decisions")
                 .check(ALL);
     }
--- a/src/test/java/tinroad/OverloadControllerTest.java
+++ b/src/test/java/tinroad/OverloadControllerTest.java
@@ -14,6 +14,7 @@
 import tinroad.Controller.Outcome;
 import tinroad.Controller.Say;
 import java.lang.reflect.Field;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
@@ -579,6 +580,41 @@
         assertTrue(take().contains("health true true"));
     }
 
+    /** What lies behind all servers fails: what is refused everywhere is tried everywhere. */
+    @Test
+    void aFailingServerThatIsAskedMoreAndMoreStaysOnTheList() {
+        f.begin();
+        f.serveCalmly("s", FREE, 100, 40);
+        take();
+        for (int i = 0; i < 600; i++) {
+            f.request("a" + i, FREE);
+            f.request("b" + i, FREE);
+            f.after(20);
+            f.ended("a" + i, Outcome.FAILED);
+            f.ended("b" + i, Outcome.FAILED);
+        }
+        List<String> lines = take();
+        assertTrue(lines.contains("log runs fail: admission shut"), lines.toString());
+        assertFalse(lines.contains("health false true"));
+        // Nobody asks any more: then it is this one's trouble.
+        f.after(2500);
+        assertTrue(take().contains("health false true"));
+    }
+
+    @Test
+    void callersThatAreTurnedAwayWhileItFailsAreToldToComeBackOneAfterTheOther() {
+        f.begin();
+        failAllOf(80);
+        take();
+        List<Double> told = new ArrayList<>();
+        for (int caller = 0; caller < 8; caller++) {
+            f.requestBy("x" + caller, 100 + caller);
+            told.addAll(f.recorder.take("refuse").stream().map(l -> Double.parseDouble(l.split(" ")[2])).toList());
+        }
+        assertTrue(told.size() >= 7 && told.stream().distinct().count() == told.size(), told.toString());
+        assertTrue(told.stream().allMatch(ms -> ms > 300 && ms <= 1000), told.toString());
+    }
+
     @Test
     void aHangShutsAdmissionUntilSomethingEnds() {
         f.begin();
--- a/src/test/java/tinroad/control/ControlServerTest.java
+++ b/src/test/java/tinroad/control/ControlServerTest.java
@@ -7,15 +7,18 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
 import java.nio.charset.StandardCharsets;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.Size;
 import org.junit.jupiter.api.Test;
+import tinroad.Controller.Known;
 import tinroad.Cuts;
 import tinroad.core.Engine;
 import tinroad.core.Harness;
 import tinroad.core.Inbound;
+import tinroad.core.Memory;
 
 /** What operators call, what they hear, and that whatever comes costs no more than its connection. */
 class ControlServerTest {
@@ -83,6 +86,47 @@
                 + "\"failure\":{\"read\":1,\"order\":1},\"backend_calls\":3,\"inflight\":1}", call("GET /api/telemetry"));
     }
 
+    @Test
+    void recoveryTellsThePhaseAndWhatIsRememberedFromWhen() {
+        h = new Harness(0);
+        h.gateway.remembers(new Memory() {
+            @Override public Map<String, Recalled> recall(Map<String, Known> priors, double now) {
+                return Map.of("run.read", new Recalled(new Known(24, 4), 61_000, 3));
+            }
+
+            @Override public void begun(Map<String, Known> values) { }
+
+            @Override public Map<String, Double> ran() {
+                return Map.of("00000000000000aa", h.now + 500, "00000000000000ab", h.now - 1);
+            }
+
+            @Override public boolean evacuated() {
+                return true;
+            }
+
+            @Override public long life() {
+                return 4;
+            }
+
+            @Override public String begins() {
+                return "warm";
+            }
+        });
+        String starting = call("GET /api/recovery");
+        assertTrue(starting.contains("{\"phase\":\"starting\",\"since_ms\":0,\"why\":\"the engine was never there\",\"shown_per_s\":null"), starting);
+        h.gateway.attached(true, 0);
+        String cold = call("GET /api/recovery");
+        assertTrue(cold.contains("\"phase\":\"cold\"") && cold.endsWith("\"life\":4,\"began\":\"warm\",\"remembered\":"
+                + "[{\"what\":\"run.read\",\"value\":24.0,\"age_ms\":61000,\"life\":3}]}"), cold);
+        assertEquals(Map.of("0", 24.0), h.module.restored);
+        // What an earlier life ran is not run again, until it is due; and operators' word outlives it.
+        ask("00000000000000aa", "read");
+        ask("00000000000000ab", "read");
+        assertEquals("00000000000000ab", h.module.last.id());
+        assertFalse(h.gateway.healthy());
+        assertTrue(h.gateway.rejoin() && h.gateway.healthy());
+    }
+
     @Test
     void whatIsNoCallIsToldSo() {
         assertEquals("HTTP/1.1 404 Not Found\nno such call\n", call("GET /"));
--- a/src/test/java/tinroad/core/Harness.java
+++ b/src/test/java/tinroad/core/Harness.java
@@ -5,7 +5,9 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.function.Consumer;
 import org.slf4j.helpers.NOPLogger;
@@ -93,6 +95,16 @@
         /** What the module heard, one line an event. */
         public final List<String> heard = new ArrayList<>();
         public Request last;
+        /** What it was given of an earlier life: run times by class. */
+        public final Map<String, Double> restored = new HashMap<>();
+
+        @Override public Map<String, Known> learned() {
+            return Map.of("run.0", new Known(125, 2));
+        }
+
+        @Override public void restore(Map<String, Known> known) {
+            known.forEach((name, k) -> restored.put(name.replace("run.", ""), k.value()));
+        }
 
         @Override public void start(double now, long seed, Settings settings) {
             act.health(true, true);
--- a/src/test/java/tinroad/lab/LabTest.java
+++ b/src/test/java/tinroad/lab/LabTest.java
@@ -32,7 +32,7 @@
 
     private Report play(String script, long seed, Mutant mutant) throws Exception {
         Path file = Files.writeString(dir.resolve("s.conf"), script);
-        try (Lab lab = new Lab(Plan.of(ScriptReader.read(file), seed), new Lab.Options(PROGRAM, dir.resolve("run"), null, mutant))) {
+        try (Lab lab = new Lab(Plan.of(ScriptReader.read(file), seed), new Lab.Options(PROGRAM, dir.resolve("run"), null, null, mutant))) {
             Lab.Outcome outcome = lab.play();
             ledger = outcome.ledger();
             Report report = new Report(outcome);
--- a/src/test/java/tinroad/node/ServerTest.java
+++ b/src/test/java/tinroad/node/ServerTest.java
@@ -20,6 +20,7 @@
 import org.junit.jupiter.api.Timeout;
 import tinroad.Controller;
 import tinroad.config.GatewayConfig;
+import tinroad.operator.StateSettings;
 import tinroad.config.Site;
 
 /** The whole program on ephemeral loopback ports: it starts, serves its health, drains and ends. */
@@ -69,7 +70,7 @@
     void itServesOnceTheEngineIsThereAndEndsWhenItIsToldTo() throws Exception {
         try (ServerSocket engine = new ServerSocket(0, 5, InetAddress.getLoopbackAddress());
                 DatagramSocket roster = new DatagramSocket(0, InetAddress.getLoopbackAddress());
-                Server server = new Server(config(engine, roster), null)) {
+                Server server = new Server(config(engine, roster), null, StateSettings.NONE)) {
             engine.setSoTimeout(HUNG_MS);
             InetSocketAddress address = server.start();
             try (Socket link = engine.accept()) {
@@ -96,7 +97,7 @@
             GatewayConfig free = config(engine, roster);
             GatewayConfig taken = new GatewayConfig(free.name(), (InetSocketAddress) engine.getLocalSocketAddress(),
                     null, free.engine(), free.roster(), 1, 600, 1024, 192, free.site());
-            try (Server server = new Server(taken, null)) {
+            try (Server server = new Server(taken, null, StateSettings.NONE)) {
                 String message = assertThrows(IOException.class, server::start).getMessage();
                 assertTrue(message.startsWith("can't listen on "), message);
             }
--- a/src/test/java/tinroad/operator/OperatorTest.java
+++ b/src/test/java/tinroad/operator/OperatorTest.java
@@ -16,6 +16,7 @@
 class OperatorTest {
     private static final LogSettings DEFAULTS = new LogSettings(false, "info", Map.of(), 1024, 500);
 
+    private static final StateSettings NOTHING_LASTS = new StateSettings(null, null, 5000, 3, 3_600_000, 600_000);
     @TempDir
     private Path dir;
 
@@ -25,17 +26,23 @@
 
     @Test
     void whatIsLeftOutHasItsDefault() throws Exception {
-        assertEquals(new Operator(DEFAULTS), Operator.read(file("log {}")));
-        assertEquals(new Operator(DEFAULTS), Operator.read(Path.of("deploy/operator.conf")));
+        assertEquals(new Operator(DEFAULTS, NOTHING_LASTS), Operator.read(file("log {}")));
+        assertEquals(new Operator(DEFAULTS, NOTHING_LASTS), Operator.read(Path.of("deploy/operator.conf")));
     }
 
     @Test
     void settingsAreReadWithTheirUnits() throws Exception {
-        assertEquals(new Operator(new LogSettings(true, "warn", Map.of("engine", "debug", "io.netty", "off"), 64, 1500)),
+        assertEquals(new Operator(new LogSettings(true, "warn", Map.of("engine", "debug", "io.netty", "off"), 64, 1500), NOTHING_LASTS),
                 Operator.read(file("\ufefflog { format = json, level = warn, queue = 64, flush = 1.5 seconds\r\n"
                         + "levels { engine = debug, \"io.netty\" = off } }")));
     }
 
+    @Test
+    void foldersAreBesideTheFileUnlessTheyAreAbsolute() throws Exception {
+        Operator o = Operator.read(file("state { folder = kept, fence = /var/fence, oldest = 2h }"));
+        assertEquals(new StateSettings(dir.resolve("kept"), Path.of("/var/fence"), 5000, 3, 7_200_000, 600_000), o.state());
+    }
+
     @Test
     void anIncludedFileCountsAndMayBeOverridden() throws Exception {
         Files.writeString(dir.resolve("base.conf"), "log { level = error, queue = 99 }");
