Expect runs on a cold engine to take as much longer as the settings tell

A run time learned on a warm engine is a quarter of what a cold one takes: restored as it was, a gateway that came back would admit four times too much and call itself slow. Learned.restore divides by the told cold speed.

--- a/src/main/java/tinroad/Learned.java
+++ b/src/main/java/tinroad/Learned.java
@@ -68,16 +68,16 @@
         return all;
     }
 
-    /** Begins with what an earlier life knew. Guards against what no class can be: that is left as it was. */
-    void restore(Map<String, Controller.Known> known) {
+    /** Begins with what an earlier life knew, on cores of this part of their speed. What no class can be is left out. */
+    void restore(Map<String, Controller.Known> known, double speed) {
         for (int i = 0; i < of.length; i++) {
             Controller.Known run = known.get("run." + i);
             Controller.Known calm = known.get("calm." + i);
             if (usable(run)) {
-                of[i].run = run.value();
+                of[i].run = run.value() / speed;
                 of[i].runs = Math.min(MOST_WEIGHT, run.weight());
-                // Guards against a slowdown where only one of the two is known: their ratio tells of it.
-                of[i].calm = usable(calm) ? calm.value() : Math.max(of[i].calm, of[i].run);
+                // Guards against a slowdown where only one is known, or the engine is cold: their ratio tells of it.
+                of[i].calm = usable(calm) && speed == 1 ? calm.value() : Math.max(of[i].calm, of[i].run);
             }
         }
         Controller.Known back = known.get("returning");
@@ -85,6 +85,6 @@
     }
 
     private static boolean usable(Controller.Known k) {
-        return k != null && k.value() > 0 && k.value() < Double.MAX_VALUE && k.weight() > 0;
+        return k != null && k.value() > 0 && k.value() < 1e9 && k.weight() > 0;
     }
 }
--- a/src/main/java/tinroad/OverloadController.java
+++ b/src/main/java/tinroad/OverloadController.java
@@ -232,7 +232,7 @@
 
     @Override
     public void restore(Map<String, Known> known) {
-        learned.restore(known);
+        learned.restore(known, set.cold() ? Math.max(0.01, set.rules().coldFrom()) : 1);
     }
 
     // --- admission ---
--- a/src/test/java/tinroad/LearnedTest.java
+++ b/src/test/java/tinroad/LearnedTest.java
@@ -29,7 +29,7 @@
         before.of[0].calm = 20;
         before.returning = 0.4;
         Learned after = fresh();
-        after.restore(before.export());
+        after.restore(before.export(), 1);
         assertEquals(24, after.of[0].run);
         assertEquals(20, after.of[0].calm);
         assertEquals(4, after.of[0].runs);
@@ -37,10 +37,22 @@
         assertEquals(0.4, after.returning);
     }
 
+    @Test
+    void onAColdEngineRunsAreExpectedToTakeAsMuchLonger() {
+        Learned before = fresh();
+        before.of[0].run = 24;
+        before.of[0].calm = 20;
+        Learned after = fresh();
+        after.restore(before.export(), 0.2);
+        assertEquals(120, after.of[0].run);
+        // No slowdown is seen in what is only cold.
+        assertEquals(250, after.of[0].calm);
+    }
+
     @Test
     void aRunTimeWithoutItsBaselineIsNoSlowdown() {
         Learned after = fresh();
-        after.restore(Map.of("run.0", new Known(900, 3), "run.1", new Known(30, 3)));
+        after.restore(Map.of("run.0", new Known(900, 3), "run.1", new Known(30, 3)), 1);
         assertEquals(900, after.of[0].calm);
         assertEquals(500, after.of[1].calm);
     }
@@ -49,7 +61,7 @@
     void noNumberMakesAClassImpossible(@ForAll double run, @ForAll double calm, @ForAll double weight, @ForAll double back) {
         Learned after = fresh();
         after.restore(Map.of("run.0", new Known(run, weight), "calm.0", new Known(calm, weight),
-                "run.9", new Known(run, 1), "returning", new Known(back, 1), "unheard.of", new Known(1, 1)));
+                "run.9", new Known(run, 1), "returning", new Known(back, 1), "unheard.of", new Known(1, 1)), 0.2);
         for (Learned.Of c : after.of) {
             assertTrue(c.run > 0 && c.run < Double.POSITIVE_INFINITY && c.calm > 0 && c.runs > 0, "" + c.run);
         }
