--- a/src/main/java/tinroad/cli/LabCommand.java
+++ b/src/main/java/tinroad/cli/LabCommand.java
@@ -50,7 +50,7 @@
     @Option(name = "--operator", metaVar = "FILE", usage = "the gateways' operator file (default: none); compare: given twice, none stands for none")
     private List<String> operators = new ArrayList<>();
 
-    @Option(name = "--out", metaVar = "DIR", usage = "where results, charts and the gateways' folders are left (default: nowhere)")
+    @Option(name = "--out", metaVar = "DIR", usage = "where results, charts and the gateways' folders are left, of compare each run's (default: nowhere)")
     private String folder;
 
     @Option(name = "--output", usage = "table or json")
@@ -177,7 +177,8 @@
         for (int number = from; number <= to; number++) {
             Map<String, Report> both = new LinkedHashMap<>();
             for (int program = 0; program < jars.size(); program++) {
-                Report report = once(played, number, program, null, null);
+                Report report = once(played, number, program,
+                        folder == null ? null : Path.of(folder, "seed-" + number + "-" + (program == 0 ? "first" : "second")), null);
                 broken += report.broken().size();
                 both.put(both.isEmpty() ? "a" : "b", report);
                 err.println("seed " + number + ", " + jars.get(program) + ": " + report.fates()
--- a/src/main/java/tinroad/lab/Charts.java
+++ b/src/main/java/tinroad/lab/Charts.java
@@ -11,6 +11,7 @@
 import org.knowm.xchart.XYChartBuilder;
 import org.knowm.xchart.style.markers.SeriesMarkers;
 import tinroad.lab.plan.Plan;
+import tinroad.lab.truth.Bound;
 import tinroad.lab.truth.Measures;
 
 /** The charts of a run: service, and the tries that the fleet meets, over the day; each as SVG and PNG. */
@@ -26,6 +27,8 @@
         List<Double> at = new ArrayList<>();
         List<Double> service = new ArrayList<>();
         List<Double> tries = new ArrayList<>();
+        List<Double> possible = new ArrayList<>();
+        Bound bound = new Bound(plan, 0);
         for (double t = 0; t + step <= plan.script().length(); t += step) {
             double share = measures.service(t, t + step);
             int sent = 0;
@@ -34,9 +37,13 @@
             }
             at.add((t + step / 2) / 1000);
             service.add(Double.isNaN(share) ? 0 : share);
+            possible.add(bound.service(t + step / 2));
             tries.add(sent / step * 1000);
         }
-        save(chart(plan, "share of the worth served in time", at, service, 1.05, faultEnd), folder.resolve("service"));
+        XYChart served = chart(plan, "share of the worth served in time", at, service, 1.05, faultEnd);
+        served.addSeries("what the engines' warm-up allows", at, possible).setMarker(SeriesMarkers.NONE).setLineColor(Color.GRAY)
+                .setLineWidth(1);
+        save(served, folder.resolve("service"));
         save(chart(plan, "tries a second", at, tries, 1.1 * tries.stream().mapToDouble(d -> d).max().orElse(1), faultEnd),
                 folder.resolve("tries"));
     }
--- a/src/main/java/tinroad/lab/Lab.java
+++ b/src/main/java/tinroad/lab/Lab.java
@@ -50,6 +50,7 @@
 import tinroad.lab.stand.RosterStand;
 import tinroad.lab.stand.World;
 import tinroad.lab.stand.World.Mutant;
+import tinroad.lab.truth.Bound;
 import tinroad.lab.truth.Ledger;
 import tinroad.lab.truth.Ledger.Excuse;
 import tinroad.lab.truth.Ledger.Life;
@@ -68,7 +69,6 @@
     /** A tick so late, in ms, is a stall of the lab, which counts against no gateway. */
     private static final double STALL = 50;
     /** From the start of a process to that of its engine, in ms. */
-    private static final double ENGINE_AFTER = 1000;
     private static final double START_PATIENCE = 60_000;
     private static final double END_PATIENCE = 10_000;
     private static final double LOOK_MS = 250;
@@ -609,7 +609,7 @@
                 }
             });
             if (!m.engine.up()) {
-                agenda.at(now() + ENGINE_AFTER, () -> {
+                agenda.at(now() + Bound.ENGINE_AFTER, () -> {
                     m.engine.start(true);
                     roster.engineUp(m.number);
                 });
--- a/src/main/java/tinroad/lab/Report.java
+++ b/src/main/java/tinroad/lab/Report.java
@@ -14,6 +14,7 @@
 import tinroad.lab.plan.Hit;
 import tinroad.lab.plan.Plan;
 import tinroad.lab.script.Script;
+import tinroad.lab.truth.Bound;
 import tinroad.lab.truth.Ledger;
 import tinroad.lab.truth.Measures;
 import tinroad.lab.truth.Rules;
@@ -24,6 +25,8 @@
     /** The figures that programs are compared by; of all but the first, less is better. */
     static final List<String> COMPARED = List.of("service", "to_full_s", "tries_per_first", "wasted", "peak_over_mean");
     private static final ObjectMapper JSON = new ObjectMapper();
+    /** So long, in ms, a gateway takes from the start of its process until it listens (lab/start-cost.sh). */
+    private static final double REACH_AFTER = 1100;
     private static final double[] QUANTILES = {50, 99};
 
     private final Lab.Outcome outcome;
@@ -57,6 +60,9 @@
         put("service_fault", measures.service(from, to));
         put("service_after", measures.service(to, script.length()));
         put("to_full_s", measures.toFullService() / 1000);
+        put("bound_s", new Bound(plan, 0).toFullService(ledger.faultEnd, measures.before()) / 1000);
+        put("bound_reached_s", new Bound(plan, REACH_AFTER + (script.roster().lateLeast() + script.roster().lateMost()) / 2)
+                .toFullService(ledger.faultEnd, measures.before()) / 1000);
         put("tries_per_first", measures.triesPerFirst());
         put("peak_over_mean", measures.peakOverMean());
         put("wasted", measures.wasted());
--- /dev/null
+++ b/src/main/java/tinroad/lab/truth/Bound.java
@@ -0,0 +1,85 @@
+package tinroad.lab.truth;
+
+import java.util.ArrayList;
+import java.util.List;
+import tinroad.lab.plan.Hit;
+import tinroad.lab.plan.Plan;
+import tinroad.lab.script.Script;
+import tinroad.lab.script.Script.Deed;
+
+/**
+ * What no program could better on a day: the service that the engines' own warm-up allows, where everything asked for is read
+ * once, nothing is tried twice and each core has its even part of the load. Of what ends engines and processes; other
+ * faults do not lower it. Times in ms.
+ */
+public final class Bound {
+    /** An engine is up this long after its gateway's process was started. */
+    public static final double ENGINE_AFTER = 1000;
+
+    private record Away(int gateway, double from, double engineAt, double listedAt) { }
+
+    private final Plan plan;
+    private final List<Away> away = new ArrayList<>();
+
+    /**
+     * The bound of a plan.
+     *
+     * @param reachAfter how long after the start of its process a gateway is reached by callers: 0 for the engines' warm-up alone
+     */
+    public Bound(Plan plan, double reachAfter) {
+        this.plan = plan;
+        for (Hit hit : plan.hits()) {
+            Deed deed = hit.trouble().deed();
+            if (deed == Deed.ENGINE_CRASH) {
+                away.add(new Away(hit.gateway(), hit.at(), hit.until(), hit.until()));
+            } else if (deed.ends()) {
+                // With a notice the engine lives until the process has ended; how long that takes is the program's.
+                boolean engineToo = deed != Deed.KILL_GATEWAY;
+                away.add(new Away(hit.gateway(), hit.at(), engineToo ? hit.until() + ENGINE_AFTER : Double.NEGATIVE_INFINITY,
+                        hit.until() + reachAfter));
+            }
+        }
+    }
+
+    /** Work a ms that the cores of a gateway can do for callers. */
+    private double power(int gateway, double at) {
+        Script script = plan.script();
+        double warmth = 1;
+        for (Away a : away) {
+            if (a.gateway == gateway && at >= a.from) {
+                double up = at - a.engineAt;
+                warmth = at < a.listedAt || up < 0 ? 0
+                        : Math.min(1, script.engine().cold() + (1 - script.engine().cold()) * up / script.engine().warmup());
+            }
+        }
+        List<Double> speeds = script.fleet().speeds();
+        return warmth * script.fleet().cores() * speeds.get(gateway % speeds.size());
+    }
+
+    /** The share of what is asked for at this time that can be served. */
+    public double service(double at) {
+        Script script = plan.script();
+        double power = 0;
+        for (int g = 0; g < script.fleet().gateways(); g++) {
+            power += power(g, at);
+        }
+        double asked = script.load().at(at) * script.fleet().power();
+        double reading = asked * script.engine().read() / (1 + script.engine().read());
+        return asked == 0 ? 1 : Math.max(0, Math.min(1, (power - reading) / (asked - reading)));
+    }
+
+    /**
+     * Time from {@code faultEnd} to the first moment from which service can stay at {@link Measures#FULL} of {@code before};
+     * NaN where no process or engine ended.
+     */
+    public double toFullService(double faultEnd, double before) {
+        if (away.isEmpty() || Double.isNaN(faultEnd)) {
+            return Double.NaN;
+        }
+        double last = faultEnd;
+        for (double t = faultEnd; t < plan.script().length(); t += Measures.WINDOW) {
+            last = service(t) < Measures.FULL * before ? t + Measures.WINDOW : last;
+        }
+        return last - faultEnd;
+    }
+}
--- a/src/test/java/tinroad/lab/truth/MeasuresTest.java
+++ b/src/test/java/tinroad/lab/truth/MeasuresTest.java
@@ -7,6 +7,7 @@
 import java.nio.file.Path;
 import org.junit.jupiter.api.Test;
 import tinroad.lab.plan.Draw;
+import tinroad.lab.plan.Hit;
 import tinroad.lab.plan.Plan;
 import tinroad.lab.script.ScriptReader;
 
@@ -43,6 +44,21 @@
         assertTrue(Double.isNaN(new Measures(ledger).toFullService()));
     }
 
+    /** Seven of ten gone at 8 s, back from 11 to 16 s, their engines a second later, at a quarter of their speed for 8 s. */
+    @Test
+    void theBoundFollowsTheWarmUpOfTheEngines() {
+        Bound bound = new Bound(ledger.plan, 0);
+        double reading = 0.7 * 0.2;
+        assertEquals(1, bound.service(7999));
+        assertEquals((0.3 - reading) / (0.7 - reading), bound.service(8001), 1e-9);
+        double last = ledger.plan.hits().stream().mapToDouble(Hit::until).max().orElseThrow();
+        assertEquals(1, bound.service(last + Bound.ENGINE_AFTER + 8000));
+        double full = bound.toFullService(last, 1);
+        assertTrue(bound.service(last + full) >= 0.95 && bound.service(last + full - 150) < 0.95, "" + full);
+        assertTrue(new Bound(ledger.plan, 4000).toFullService(last, 1) > full + 500);
+        assertTrue(Double.isNaN(bound.toFullService(Double.NaN, 1)));
+    }
+
     @Test
     void whatIsServedAfterItsAimIsNotService() {
         ledger.fates.forEach(f -> f.endedAt = f.asked.at() + 2000);
