--- a/src/main/java/tinroad/cli/LabCommand.java
+++ b/src/main/java/tinroad/cli/LabCommand.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.stream.LongStream;
 import java.util.stream.Stream;
 import org.kohsuke.args4j.Argument;
 import org.kohsuke.args4j.Option;
@@ -43,8 +44,8 @@
     @Option(name = "--seed", usage = "decides all that is random")
     private long seed = 1;
 
-    @Option(name = "--seeds", metaVar = "A..B", usage = "compare: the seeds, from A to B")
-    private String seeds = "1..5";
+    @Option(name = "--seeds", metaVar = "A..B", usage = "compare: the seeds, from A to B (default: 1..5); model: one line of figures for each of them")
+    private String seeds;
 
     @Option(name = "--jar", metaVar = "FILE", usage = "the gateways' program (default: this one); compare: given twice")
     private List<String> jars = new ArrayList<>();
@@ -146,6 +147,16 @@
 
     /** This program's own gateways on virtual time, in this process. */
     private int model(PrintStream out) throws IOException, OperatorException {
+        if (seeds != null) {
+            Script played = script();
+            long broken = 0;
+            for (long number : range()) {
+                Report report = new Report(new FleetModel(Plan.of(played, number)).play());
+                out.println(report.line());
+                broken += report.broken().size();
+            }
+            return broken == 0 ? FINE : FAILED;
+        }
         Report report = new Report(new FleetModel(Plan.of(script(), seed)).play());
         if (folder != null) {
             report.write(Path.of(folder));
@@ -183,16 +194,22 @@
         return value instanceof Double d && !Double.isFinite(d) ? Double.isNaN(d) ? "-" : "never" : value.toString();
     }
 
+    private long[] range() {
+        String text = seeds == null ? "1..5" : seeds;
+        if (!text.matches("\\d{1,6}\\.\\.\\d{1,6}")) {
+            throw new IllegalArgumentException("--seeds must be A..B; found " + text);
+        }
+        return LongStream.rangeClosed(Long.parseLong(text.replaceAll("\\..*", "")), Long.parseLong(text.replaceAll(".*\\.", ""))).toArray();
+    }
+
     private int compare(PrintStream out, PrintStream err) throws IOException, InterruptedException, OperatorException {
-        if (jars.size() != 2 || !seeds.matches("\\d{1,6}\\.\\.\\d{1,6}")) {
-            throw new IllegalArgumentException("compare needs --jar twice, and --seeds as A..B");
+        if (jars.size() != 2) {
+            throw new IllegalArgumentException("compare needs --jar twice");
         }
         Script played = script();
         Comparison comparison = new Comparison();
         long broken = 0;
-        int from = Integer.parseInt(seeds.replaceAll("\\..*", ""));
-        int to = Integer.parseInt(seeds.replaceAll(".*\\.", ""));
-        for (int number = from; number <= to; number++) {
+        for (long number : range()) {
             Map<String, Report> both = new LinkedHashMap<>();
             for (int program = 0; program < jars.size(); program++) {
                 Report report = once(played, number, program,
--- a/src/main/java/tinroad/model/FleetModel.java
+++ b/src/main/java/tinroad/model/FleetModel.java
@@ -137,7 +137,8 @@
         while (now < script.length() || now < end && proxies.stream().anyMatch(p -> p.waiting() > 0)) {
             step();
         }
-        // Callers may have gone; what they sent is owed an answer all the same.
+        // Callers may have gone; what they sent, and what is on its way, is owed an answer all the same.
+        step();
         for (double last = now + patience + Rules.SLACK; now < last && gateways.stream().anyMatch(ModelGateway::owes);) {
             step();
         }
