--- a/src/main/java/tinroad/model/FleetModel.java
+++ b/src/main/java/tinroad/model/FleetModel.java
@@ -142,6 +142,7 @@
         for (double last = now + patience + Rules.SLACK; now < last && gateways.stream().anyMatch(ModelGateway::owes);) {
             step();
         }
+        step();
         engines.forEach(ModelEngine::end);
         return new Lab.Outcome(ledger, 0, 1);
     }
