--- a/src/main/java/tinroad/cli/LabCommand.java
+++ b/src/main/java/tinroad/cli/LabCommand.java
@@ -53,6 +53,9 @@
     @Option(name = "--operator", metaVar = "FILE", usage = "the gateways' operator file (default: none); compare: given twice, none stands for none")
     private List<String> operators = new ArrayList<>();
 
+    @Option(name = "--remembers", usage = "model: what a gateway learned lasts over restarts, as the script has its folders")
+    private boolean remembers;
+
     @Option(name = "--out", metaVar = "DIR", usage = "where results, charts and the gateways' folders are left, of compare each run's (default: nowhere)")
     private String folder;
 
@@ -151,13 +154,13 @@
             Script played = script();
             long broken = 0;
             for (long number : range()) {
-                Report report = new Report(new FleetModel(Plan.of(played, number)).play());
+                Report report = new Report(new FleetModel(Plan.of(played, number), remembers).play());
                 out.println(report.line());
                 broken += report.broken().size();
             }
             return broken == 0 ? FINE : FAILED;
         }
-        Report report = new Report(new FleetModel(Plan.of(script(), seed)).play());
+        Report report = new Report(new FleetModel(Plan.of(script(), seed), remembers).play());
         if (folder != null) {
             report.write(Path.of(folder));
         }
--- a/src/main/java/tinroad/control/ControlCall.java
+++ b/src/main/java/tinroad/control/ControlCall.java
@@ -30,7 +30,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import tinroad.core.Figures;
-import tinroad.core.Memory;
+import tinroad.recovery.Memory;
 import tinroad.recovery.Comeback;
 import tinroad.core.Gateway;
 
--- a/src/main/java/tinroad/core/Gateway.java
+++ b/src/main/java/tinroad/core/Gateway.java
@@ -8,6 +8,7 @@
 import tinroad.Controller.Settings;
 import tinroad.config.Site;
 import tinroad.recovery.Comeback;
+import tinroad.recovery.Memory;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import java.util.ArrayDeque;
--- a/src/main/java/tinroad/model/FleetModel.java
+++ b/src/main/java/tinroad/model/FleetModel.java
@@ -51,6 +51,7 @@
     private static final double BEFORE = 1000;
 
     private final Plan plan;
+    private final boolean remembers;
     private final Script script;
     private final Ledger ledger;
     private final Agenda agenda = new Agenda();
@@ -62,9 +63,10 @@
     private final UniformRandomProvider starts;
     private double now = -BEFORE;
 
-    /** A fleet that will live through this plan; refuses what needs links. */
-    public FleetModel(Plan plan) throws IOException {
+    /** A fleet that will live through this plan; refuses what needs links. {@code remembers}: state lasts over restarts. */
+    public FleetModel(Plan plan, boolean remembers) throws IOException {
         this.plan = plan;
+        this.remembers = remembers;
         script = plan.script();
         for (Hit hit : plan.hits()) {
             Deed deed = hit.trouble().deed();
@@ -101,6 +103,10 @@
         return plan;
     }
 
+    boolean remembers() {
+        return remembers;
+    }
+
     Ledger ledger() {
         return ledger;
     }
@@ -258,6 +264,7 @@
     private void restart(ModelGateway g, ModelEngine engine, Hit hit) {
         agenda.at(now + hit.away(), () -> {
             ended();
+            g.folder(hit.trouble().folder());
             agenda.at(now + START_LEAST + (START_MOST - START_LEAST) * starts.nextDouble(), () -> g.begin(true));
             if (!engine.up()) {
                 agenda.at(now + Bound.ENGINE_AFTER, () -> {
--- a/src/main/java/tinroad/model/ModelGateway.java
+++ b/src/main/java/tinroad/model/ModelGateway.java
@@ -9,15 +9,24 @@
 import tinroad.core.Gateway;
 import tinroad.core.Inbound;
 import tinroad.lab.plan.Draw;
+import tinroad.lab.script.Script;
 import tinroad.lab.stand.Proxy;
 import tinroad.lab.truth.Ledger;
 import tinroad.recovery.Pace;
+import tinroad.recovery.Remembrance;
+import tinroad.state.Reading;
+import tinroad.state.Recall;
+import tinroad.state.Snapshot;
 
 /** One gateway of the model, life after life: the program's own parts on the model's time. */
 final class ModelGateway {
     /** The reports to the roster: period in ms, and its spread, as the program has them. */
     private static final double REPORTS = 250;
     private static final double SPREAD = 0.2;
+    /** Of what lasts, in ms: as in lab/operator/state.conf. */
+    private static final double SAVES = 500;
+    private static final double OLDEST = 600_000;
+    private static final double HALF_LIFE = 300_000;
     /** What the process keeps of its time to leave for its end, in ms. */
     private static final double EXIT_MARGIN = 200;
 
@@ -28,6 +37,10 @@
     private final Site cold;
     private final Set<Proxy.Told> open = new LinkedHashSet<>();
     private Gateway gateway;
+    private Remembrance remembrance;
+    /** What is in the folder of state, and what was kept of it the time before. */
+    private Snapshot folder;
+    private Snapshot older;
     private Ledger.Life life;
     private boolean good;
 
@@ -39,6 +52,15 @@
         this.cold = cold;
     }
 
+    /** What became of the folder while the process was gone. */
+    void folder(Script.Folder what) {
+        switch (what) {
+            case KEEP -> older = folder;
+            case LOSE -> folder = null;
+            case OLD -> folder = older;
+        }
+    }
+
     /** Another life begins, and listens at once. */
     void begin(boolean justStarted) {
         life = model.ledger().begins(number);
@@ -53,6 +75,16 @@
                         task.run();
                     }
                 }), engine, OverloadController::new, NOPLogger.NOP_LOGGER);
+        if (model.remembers()) {
+            double unix = FleetModel.ZERO + model.now();
+            // The number of a life is told from elsewhere, as by a fence: an older folder is then known for what it is.
+            Recall.Decision d = Recall.decide(folder == null ? List.of() : List.of(new Recall.Candidate("state", Reading.of(folder))),
+                    "g" + number, unix, OLDEST, life.number, life.number);
+            remembrance = new Remembrance("g" + number, d, life.number + 1, OLDEST, HALF_LIFE);
+            gateway.comesBack(remembrance.distrusts());
+            gateway.remembers(remembrance);
+            save(mine);
+        }
         gateway.onHealth(healthy -> {
             good = healthy;
             model.reports(number, healthy);
@@ -62,6 +94,15 @@
         report(mine, new Pace("g" + number, seed, REPORTS, SPREAD));
     }
 
+    private void save(Ledger.Life mine) {
+        if (life == mine && gateway != null) {
+            if (!gateway.learned().isEmpty()) {
+                folder = remembrance.leaves(gateway.now(), gateway.learned(), gateway.ranIds(), gateway.evacuated());
+            }
+            model.at(model.now() + SAVES, () -> save(mine));
+        }
+    }
+
     private void report(Ledger.Life mine, Pace pace) {
         if (life == mine && gateway != null) {
             model.reports(number, good);
--- a/src/main/java/tinroad/node/Server.java
+++ b/src/main/java/tinroad/node/Server.java
@@ -81,7 +81,7 @@
         gateway.onHealth(this::health);
         gateway.comesBack(remembering != null && remembering.distrusts());
         if (remembering != null) {
-            gateway.remembers(remembering);
+            gateway.remembers(remembering.memory());
             after(saveEvery, this::save);
         }
     }
--- a/src/main/java/tinroad/core/Memory.java
+++ b/src/main/java/tinroad/recovery/Memory.java
@@ -1,4 +1,4 @@
-package tinroad.core;
+package tinroad.recovery;
 
 import tinroad.Controller.Known;
 import java.util.Map;
--- /dev/null
+++ b/src/main/java/tinroad/recovery/Remembrance.java
@@ -0,0 +1,107 @@
+package tinroad.recovery;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Locale;
+import java.util.Map;
+import tinroad.Controller.Known;
+import tinroad.state.Aged;
+import tinroad.state.Provenance;
+import tinroad.state.Recall;
+import tinroad.state.Remembered;
+import tinroad.state.Snapshot;
+
+/**
+ * What one life uses of the lives before, and what it leaves to the next. Every value that is used carries when it was
+ * learned and by whom; nothing is used beyond its age, and nothing gets younger by being saved. Times in Unix ms.
+ */
+public final class Remembrance implements Memory {
+    private final String name;
+    private final Snapshot before;
+    private final Recall.Begin begin;
+    private final long life;
+    private final double oldest;
+    private final double halfLife;
+    private final Provenance provenance;
+    private final Map<String, Remembered> used = new HashMap<>();
+    private long generation;
+
+    /**
+     * A life of the gateway {@code name} that begins by this decision.
+     *
+     * @param oldest ms, the age beyond which nothing is used
+     * @param halfLife ms in which half of what was learned fades
+     */
+    public Remembrance(String name, Recall.Decision decision, long life, double oldest, double halfLife) {
+        this.name = name;
+        this.life = life;
+        this.oldest = oldest;
+        this.halfLife = halfLife;
+        before = decision.snapshot();
+        begin = decision.begin();
+        provenance = new Provenance(life);
+    }
+
+    /** Whether there was something, and nothing of it is believed. */
+    public boolean distrusts() {
+        return begin == Recall.Begin.COLD;
+    }
+
+    @Override
+    public Map<String, Recalled> recall(Map<String, Known> priors, double now) {
+        Map<String, Recalled> all = new LinkedHashMap<>();
+        if (before != null) {
+            priors.forEach((what, prior) -> {
+                Remembered r = before.values().get(what);
+                Aged aged = r == null ? null : Aged.of(r, now, prior.value(), halfLife, oldest);
+                if (aged != null) {
+                    used.put(what, r);
+                    all.put(what, new Recalled(new Known(aged.value(), aged.weight()), aged.age(), aged.life()));
+                }
+            });
+        }
+        return all;
+    }
+
+    @Override
+    public void begun(Map<String, Known> values) {
+        provenance.begin(values, used);
+    }
+
+    @Override
+    public Map<String, Double> ran() {
+        return before == null ? Map.of() : before.ran();
+    }
+
+    @Override
+    public boolean evacuated() {
+        return before != null && before.evacuated();
+    }
+
+    @Override
+    public long life() {
+        return life;
+    }
+
+    @Override
+    public String begins() {
+        return begin.name().toLowerCase(Locale.ROOT);
+    }
+
+    /** What this life leaves, as it stands now: learned values, ids that ran with their due times, operators' word. */
+    public Snapshot leaves(double now, Map<String, Known> values, Map<String, Double> ran, boolean evacuated) {
+        return new Snapshot(name, life, ++generation, now, evacuated, provenance.at(now, values), bounded(ran));
+    }
+
+    /** Guards the size of what is saved: of too many ids, those due last stay dangerous longest. */
+    private static Map<String, Double> bounded(Map<String, Double> ran) {
+        if (ran.size() <= Snapshot.MOST_RAN) {
+            return ran;
+        }
+        Map<String, Double> kept = new LinkedHashMap<>();
+        ran.entrySet().stream().sorted(Map.Entry.<String, Double>comparingByValue(Comparator.reverseOrder()))
+                .limit(Snapshot.MOST_RAN).forEach(e -> kept.put(e.getKey(), e.getValue()));
+        return kept;
+    }
+}
--- a/src/main/java/tinroad/state/Reading.java
+++ b/src/main/java/tinroad/state/Reading.java
@@ -18,7 +18,8 @@
         ROLLED_BACK
     }
 
-    static Reading of(Snapshot snapshot) {
+    /** A snapshot that can be used. */
+    public static Reading of(Snapshot snapshot) {
         return new Reading(snapshot, null, "");
     }
 
--- a/src/test/java/tinroad/cli/ServeTest.java
+++ b/src/test/java/tinroad/cli/ServeTest.java
@@ -26,6 +26,7 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
@@ -137,6 +138,71 @@
         }
     }
 
+    private static Process remembers(Path dir, int n, ServerSocket engine, DatagramSocket roster, String folder) throws IOException {
+        Path file = dir.resolve("config" + n + ".json");
+        write(file, engine, roster);
+        Path operator = Files.writeString(dir.resolve("operator" + n + ".conf"), "state { folder = " + folder + ", every = 100ms }");
+        return serve(file, Files.createDirectory(dir.resolve("tmp" + n)), "--operator", operator.toString());
+    }
+
+    /** Two processes of one name on one folder: the older one is stopped, wakes, and has nothing to say any more. */
+    @Test
+    void anOlderProcessThatWakesWritesNoMore(@TempDir Path dir) throws Exception {
+        Path folder = dir.resolve("state");
+        try (ServerSocket engine = engine(); ServerSocket nextEngine = engine(); DatagramSocket roster = roster()) {
+            Process older = remembers(dir, 1, engine, roster, "state");
+            Process newer = null;
+            try (BufferedReader log = older.inputReader(StandardCharsets.UTF_8)) {
+                waitFor(log, "life 1 begins for the first time");
+                try (Socket link = engine.accept()) {
+                    attach(link, 0);
+                    waitForFile(folder, "state-0000000000000000001-");
+                    signal(older, "STOP");
+                    newer = remembers(dir, 2, nextEngine, roster, "state");
+                    try (BufferedReader newLog = newer.inputReader(StandardCharsets.UTF_8); Socket nextLink = nextEngine.accept()) {
+                        waitFor(newLog, "life 2 begins with life 1");
+                        attach(nextLink, 0);
+                        waitForFile(folder, "state-0000000000000000002-");
+                        signal(older, "CONT");
+                        waitFor(log, "state is saved no more: a later process of this gateway has begun");
+                        waitForFile(folder, "state-0000000000000000002-");
+                    }
+                }
+            } finally {
+                older.destroyForcibly();
+                if (newer != null) {
+                    newer.destroyForcibly();
+                }
+            }
+        }
+    }
+
+    private static void waitForFile(Path folder, String start) throws Exception {
+        while (true) {
+            try (Stream<Path> all = Files.list(folder)) {
+                if (all.anyMatch(p -> p.getFileName().toString().startsWith(start))) {
+                    return;
+                }
+            }
+            Thread.sleep(10);
+        }
+    }
+
+    @Test
+    void aFolderThatCanNotBeUsedCostsALineAndTheGatewayServes(@TempDir Path dir) throws Exception {
+        Files.writeString(dir.resolve("state"), "a file, and no folder");
+        try (ServerSocket engine = engine(); DatagramSocket roster = roster()) {
+            Process gateway = remembers(dir, 1, engine, roster, "state");
+            try (BufferedReader log = gateway.inputReader(StandardCharsets.UTF_8); Socket link = engine.accept()) {
+                waitFor(log, "state can't be used, nothing lasts: ");
+                attach(link, 0);
+                hears(roster);
+            } finally {
+                gateway.destroyForcibly();
+            }
+        }
+    }
+
     /** Started where SIGHUP is ignored, as under nohup: the virtual machine leaves it so. */
     @Test
     void whereHangupsAreIgnoredItSaysSoAndReadsItsFileAgainOnceTheEngineIsGone(@TempDir Path dir) throws Exception {
--- a/src/test/java/tinroad/control/ControlServerTest.java
+++ b/src/test/java/tinroad/control/ControlServerTest.java
@@ -18,7 +18,7 @@
 import tinroad.core.Engine;
 import tinroad.core.Harness;
 import tinroad.core.Inbound;
-import tinroad.core.Memory;
+import tinroad.recovery.Memory;
 
 /** What operators call, what they hear, and that whatever comes costs no more than its connection. */
 class ControlServerTest {
--- /dev/null
+++ b/src/test/java/tinroad/lab/RememberingTest.java
@@ -0,0 +1,60 @@
+package tinroad.lab;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.File;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
+import java.util.stream.Collectors;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import tinroad.lab.plan.Plan;
+import tinroad.lab.script.ScriptReader;
+import tinroad.lab.stand.World.Mutant;
+
+/** Real processes whose state lasts, is lost, and is rolled back under them. */
+@Timeout(240)
+class RememberingTest {
+    private static final String PROGRAM = Arrays.stream(System.getProperty("java.class.path").split(File.pathSeparator))
+            .filter(entry -> !entry.contains("test-classes")).collect(Collectors.joining(File.pathSeparator));
+
+    @TempDir
+    private Path dir;
+
+    private List<String> lives(int gateway) throws Exception {
+        return Files.readAllLines(dir.resolve("run/g" + gateway + "/log")).stream()
+                .filter(l -> l.contains(" state - ") && !l.contains("can't be saved in time"))
+                .map(l -> l.replaceFirst(".* state - ", "").replaceFirst("saved \\d+ s ago", "saved N s ago")
+                        .replaceFirst("state-\\d+-\\d+", "FILE")).toList();
+    }
+
+    /** Gateway 0 keeps its folder, then finds an older copy of it; gateway 1 loses it; gateway 2 is only paused. */
+    @Test
+    void whatLastsIsBelievedAndWhatWasRolledBackOrLostIsNot() throws Exception {
+        Path script = Files.writeString(dir.resolve("s.conf"), """
+                length = 15s, settle = 1s, fleet { gateways = 3 }, load.level = 0.4
+                faults = [ { do = kill, at = 3s, gateways = [0, 1], back-least = 200ms, back-most = 300ms, folder = keep }
+                  { do = stop, at = 4s, gateways = [2], for = 2s }
+                  { do = kill-gateway, at = 8s, gateways = [0], back-least = 200ms, back-most = 300ms, folder = old }
+                  { do = kill-gateway, at = 8s, gateways = [1], back-least = 200ms, back-most = 300ms, folder = lose } ]
+                """);
+        Path operator = Files.writeString(dir.resolve("o.conf"), "state { folder = tmp/state, fence = fence, every = 100ms }");
+        try (Lab lab = new Lab(Plan.of(ScriptReader.read(script), 1),
+                new Lab.Options(PROGRAM, dir.resolve("run"), operator, null, Mutant.NONE))) {
+            Report report = new Report(lab.play());
+            assertEquals(List.of(), report.broken().stream().map(b -> b.rule() + ": " + b.what()).toList());
+        }
+        assertEquals("life 1 begins for the first time", lives(0).get(0));
+        assertEquals("life 2 begins with life 1, saved N s ago", lives(0).get(1));
+        List<String> rolledBack = lives(0).subList(2, lives(0).size());
+        assertTrue(rolledBack.stream().allMatch(l -> l.startsWith("set aside: FILE: rolled back: of life 1, and there was life 2")
+                || l.equals("life 3 begins cold: nothing of what was there is believed")) && rolledBack.size() >= 2, rolledBack::toString);
+        assertEquals(List.of("life 1 begins for the first time", "life 2 begins with life 1, saved N s ago",
+                "life 3 begins cold: nothing of what was there is believed"), lives(1));
+        assertEquals(List.of("life 1 begins for the first time"), lives(2));
+    }
+}
--- a/src/test/java/tinroad/model/FleetModelTest.java
+++ b/src/test/java/tinroad/model/FleetModelTest.java
@@ -20,7 +20,7 @@
 
     private Report play(String script, long seed) throws Exception {
         Path file = Files.writeString(dir.resolve("s.conf"), script);
-        Report report = new Report(new FleetModel(Plan.of(ScriptReader.read(file), seed)).play());
+        Report report = new Report(new FleetModel(Plan.of(ScriptReader.read(file), seed), true).play());
         assertEquals(List.of(), report.broken().stream().limit(3).toList(), () -> report.fates().toString());
         return report;
     }
