--- a/src/main/java/tinroad/lab/Lab.java
+++ b/src/main/java/tinroad/lab/Lab.java
@@ -83,6 +83,8 @@
     private static final int FIRST_CHECKS = 150;
     private static final int ROSTER_HOST = 250;
     private static final int LOCK_HOST = 254;
+    private static final int MOST_GATEWAYS = 60;
+    private static final int MOST_PROXIES = 40;
     private static final ObjectMapper JSON = new ObjectMapper();
 
     /**
@@ -164,6 +166,10 @@
         this.plan = plan;
         this.options = options;
         script = plan.script();
+        if (script.fleet().gateways() > MOST_GATEWAYS || script.callers().proxies() > MOST_PROXIES) {
+            throw new IllegalArgumentException("the lab has addresses for " + MOST_GATEWAYS + " gateways and " + MOST_PROXIES
+                    + " proxies; larger fleets are for 'lab model'");
+        }
         ledger = new Ledger(plan);
     }
 
