--- a/src/main/java/tinroad/OverloadController.java
+++ b/src/main/java/tinroad/OverloadController.java
@@ -97,8 +97,8 @@
     private static final double OVER_SPREAD = 2.5;
     /** Part of the longest advice that load alone may give: all of it sets callers swinging. */
     private static final double LOAD_ADVICE = 0.5;
-    /** The same while shut, spread over the callers up to all of it: told all alike they come as one. */
-    private static final double SHUT_ADVICE = 2.0 / 3;
+    /** The same in the mean while shut, spread over the callers: told all alike they come as one. */
+    private static final double SHUT_ADVICE = 0.4;
     /** Marked retries beyond this part of the arrivals: others refuse too, so trying them again is no use. */
     private static final double RESENT_GENERAL = 0.2;
     /** Requests are read this late, in parts of their aims: reads and handshakes eat the cores. */
