--- a/src/main/java/tinroad/lab/Lab.java
+++ b/src/main/java/tinroad/lab/Lab.java
@@ -122,6 +122,8 @@
         private volatile GatewayProcess process;
         private Life life;
         private int enginePort = ENGINE_RELAY_PORT;
+        /** Its process ends, or has ended, and the next one is to come: it can't end twice. */
+        private boolean away;
         /** Nobody listens behind the door: it refuses, as an address does that nobody listens at. */
         private volatile boolean shut;
 
@@ -495,6 +497,13 @@
             cutLinks(m, hit);
             return;
         }
+        if (hit.trouble().deed().ends()) {
+            if (m.away) {
+                note(m, "away already");
+                return;
+            }
+            m.away = true;
+        }
         switch (hit.trouble().deed()) {
             case KILL, KILL_GATEWAY -> {
                 m.life.told = true;
@@ -583,6 +592,7 @@
     private void restart(Member m, Hit hit) {
         agenda.at(now() + hit.away(), () -> {
             ended(now());
+            m.away = false;
             keepers.execute(() -> {
                 folder(m, hit.trouble().folder());
                 String jar = hit.trouble().jar();
--- a/src/main/java/tinroad/model/FleetModel.java
+++ b/src/main/java/tinroad/model/FleetModel.java
@@ -223,6 +223,9 @@
         }
         ModelGateway g = gateways.get(hit.gateway());
         ModelEngine engine = engines.get(hit.gateway());
+        if (hit.trouble().deed().ends() && !g.leaves()) {
+            return;
+        }
         switch (hit.trouble().deed()) {
             case KILL, KILL_GATEWAY -> {
                 g.life().told = true;
--- a/src/main/java/tinroad/model/ModelGateway.java
+++ b/src/main/java/tinroad/model/ModelGateway.java
@@ -43,6 +43,7 @@
     private Snapshot older;
     private Ledger.Life life;
     private boolean good;
+    private boolean leaving;
 
     ModelGateway(FleetModel model, int number, ModelEngine engine, Site warm, Site cold) {
         this.model = model;
@@ -68,6 +69,7 @@
         long seed = Draw.stream(model.plan().seed(), "gateway " + number + " " + life.number).nextLong();
         Ledger.Life mine = life;
         good = false;
+        leaving = false;
         gateway = new Gateway(justStarted ? cold : warm, seed, () -> FleetModel.ZERO + model.now(),
                 (ms, task) -> model.at(model.now() + ms, () -> {
                     // The timers of a process end with it.
@@ -114,6 +116,13 @@
         return life;
     }
 
+    /** It is told to leave, or killed, and another life is to come; false where that is so already. */
+    boolean leaves() {
+        boolean first = gateway != null && !leaving;
+        leaving |= first;
+        return first;
+    }
+
     boolean listens() {
         return gateway != null;
     }
