--- a/src/main/java/tinroad/cli/LabCommand.java
+++ b/src/main/java/tinroad/cli/LabCommand.java
@@ -15,6 +15,7 @@
 import java.util.stream.Stream;
 import org.kohsuke.args4j.Argument;
 import org.kohsuke.args4j.Option;
+import tinroad.fleet.Tuning;
 import tinroad.lab.Comparison;
 import tinroad.lab.Lab;
 import tinroad.lab.Report;
@@ -23,19 +24,22 @@
 import tinroad.lab.script.ScriptReader;
 import tinroad.lab.stand.World;
 import tinroad.model.FleetModel;
+import tinroad.model.MembersSweep;
 import tinroad.operator.OperatorException;
 
 /** {@code lab}: plays a fleet of real gateways with faults between them, and judges what became of every request. */
 public final class LabCommand extends Command {
     /** What the lab is asked for. */
-    enum Act { RUN, MODEL, COMPARE, LIST }
+    enum Act { RUN, MODEL, MEMBERS, COMPARE, LIST }
 
     private static final String SCRIPTS = "lab";
     private static final String NONE = "none";
+    private static final double[] LOSSES = {0, 0.05, 0.2, 0.4};
     private static final String ENDING = ".conf";
 
-    @Argument(index = 0, metaVar = "run|model|compare|list", required = true,
-            usage = "play a script with processes, on virtual time, compare two programs by it, or list the scripts that ship")
+    @Argument(index = 0, metaVar = "run|model|members|compare|list", required = true,
+            usage = "play a script with processes, or on virtual time; a table of the membership on virtual time; compare two programs;"
+                    + " list the scripts that ship")
     private Act act;
 
     @Argument(index = 1, metaVar = "SCRIPT", usage = "a file, or the name of a script that ships")
@@ -56,6 +60,9 @@
     @Option(name = "--remembers", usage = "model: what a gateway learned lasts over restarts, as the script has its folders")
     private boolean remembers;
 
+    @Option(name = "--size", metaVar = "N", usage = "members: how many, may be given several times (default: 10, 30, 100)")
+    private List<Integer> sizes = new ArrayList<>();
+
     @Option(name = "--out", metaVar = "DIR", usage = "where results, charts and the gateways' folders are left, of compare each run's (default: nowhere)")
     private String folder;
 
@@ -76,6 +83,7 @@
                 case LIST -> list(out);
                 case RUN -> play(out, err);
                 case MODEL -> model(out);
+                case MEMBERS -> members(out);
                 case COMPARE -> compare(out, err);
             };
         } catch (OperatorException e) {
@@ -169,6 +177,19 @@
         return report.broken().isEmpty() ? FINE : FAILED;
     }
 
+    /** What the membership costs and finds, against size and loss; beside it the rules without the additions. */
+    private int members(PrintStream out) {
+        List<List<Object>> rows = new ArrayList<>();
+        for (int size : sizes.isEmpty() ? List.of(10, 30, 100) : sizes) {
+            for (double loss : LOSSES) {
+                rows.add(MembersSweep.row("lifeguard", Tuning.DEFAULT, size, loss, range()));
+                rows.add(MembersSweep.row("plain", Tuning.PLAIN, size, loss, range()));
+            }
+        }
+        output.print(MembersSweep.NAMES, rows, out);
+        return FINE;
+    }
+
     private int play(PrintStream out, PrintStream err) throws IOException, InterruptedException, OperatorException {
         Report report = once(script(), seed, 0, folder == null ? null : Path.of(folder), err);
         print(report, out);
--- /dev/null
+++ b/src/main/java/tinroad/fleet/Membership.java
@@ -0,0 +1,480 @@
+package tinroad.fleet;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+
+/**
+ * One member's part in the fleet: it probes the others in a shuffled round, asks others to probe for it, suspects before it
+ * declares dead, refutes what is said of itself, and doubts itself first where its own probes fail or its own time stood
+ * still. Messages and time come in, messages and changes go out. Times in ms. Owned by one thread.
+ */
+public final class Membership {
+    /** Where messages and news go. */
+    public interface Out {
+        /** Sends to an address; may be lost. */
+        void send(String address, Message message);
+
+        /** What is held of a member has changed; {@code before} is null where it was unknown. */
+        void changed(double now, Claim before, Claim after);
+    }
+
+    /** Members that are told of in one part of a sync: a datagram of 1,200 bytes holds them. */
+    private static final int SYNC_PART = 12;
+    /** Parts that one who wants them gets at once. */
+    private static final int SYNC_PARTS = 2;
+    /** A tick this much later than it was to come, in periods, is a time in which this member stood still. */
+    private static final double STOOD_STILL = 1;
+    private static final double LN2 = Math.log(2);
+
+    /** What is held of another member. */
+    private static final class Held {
+        private Claim claim;
+        private double since;
+        private double suspectUntil;
+        private double suspectedAt;
+        private final Set<String> suspectedBy = new HashSet<>();
+    }
+
+    /** A probe under way. */
+    private static final class Probe {
+        private final String name;
+        private final long number;
+        private final double directUntil;
+        private final double until;
+        private int asked;
+        private int nacks;
+
+        Probe(String name, long number, double directUntil, double until) {
+            this.name = name;
+            this.number = number;
+            this.directUntil = directUntil;
+            this.until = until;
+        }
+    }
+
+    /** A probe on another's behalf. */
+    private record Behalf(String forAddress, long theirNumber, double nackAt) { }
+
+    private static final class Riding {
+        private final Claim claim;
+        private int sent;
+
+        Riding(Claim claim) {
+            this.claim = claim;
+        }
+    }
+
+    private final Tuning tuning;
+    private final SplittableRandom random;
+    private final Out out;
+    private final List<String> seeds;
+    private final Map<String, Held> members = new LinkedHashMap<>();
+    private final Map<String, Riding> riding = new LinkedHashMap<>();
+    private final Map<Long, Behalf> behalf = new LinkedHashMap<>();
+    private final List<String> round = new ArrayList<>();
+    private final Set<String> suspects = new LinkedHashSet<>();
+    private int alive;
+    /** Where the next part of a sync begins. */
+    private int cursor;
+    private Claim self;
+    private Probe probe;
+    private long numbers;
+    private int health;
+    private double nextProbe;
+    private double nextSync;
+    private double nextNews;
+    private boolean news;
+    private double lastTick;
+    private boolean left;
+
+    /** A member that stands as {@code self} says, and knows these addresses to begin with. */
+    public Membership(Claim self, List<String> seeds, Tuning tuning, long seed, Out out) {
+        this.self = self;
+        this.seeds = seeds.stream().filter(a -> !a.equals(self.address())).toList();
+        this.tuning = tuning;
+        this.out = out;
+        random = new SplittableRandom(seed);
+    }
+
+    /** Begins: the first probes and the first word to a seed are spread over a period, so that a fleet does not begin as one. */
+    public void start(double now) {
+        lastTick = now;
+        nextProbe = now + random.nextDouble() * tuning.period();
+        nextSync = now + random.nextDouble() * tuning.period();
+    }
+
+    // --- time ---
+
+    /** Time passes; called every few ms, or late where this member stood still. */
+    public void tick(double now) {
+        double late = now - lastTick;
+        lastTick = now;
+        if (late > tuning.period() * STOOD_STILL) {
+            stoodStill(now, late);
+        }
+        if (left) {
+            return;
+        }
+        judgeProbe(now);
+        behalf.values().removeIf(b -> {
+            if (now >= b.nackAt && tuning.health() > 0) {
+                out.send(b.forAddress, new Message.Nack(b.theirNumber, ride()));
+            }
+            return now >= b.nackAt;
+        });
+        judgeSuspects(now);
+        if (now >= nextProbe && probe == null) {
+            nextProbe = now + tuning.period() * (1 + health);
+            probe(now);
+        }
+        if (news && now >= nextNews) {
+            news = false;
+            nextNews = now + tuning.pause();
+            pick(tuning.spread(), "", true).forEach(h -> out.send(h.claim.address(), new Message.Sync(false, ride())));
+        }
+        if (now >= nextSync) {
+            // While something is not clear, more often: after a cut there is much to be put right.
+            nextSync = now + (suspects.isEmpty() ? tuning.sync() : tuning.period()) * random.nextDouble(0.75, 1.25);
+            members.values().removeIf(h -> h.claim.status().over() && now - h.since > tuning.kept());
+            sync();
+        }
+    }
+
+    /** Guards the others against a member whose timers all fall due at once: what it did not hear it can't hold against them. */
+    private void stoodStill(double now, double late) {
+        if (tuning.health() == 0) {
+            return;
+        }
+        health = tuning.health();
+        probe = null;
+        for (Held h : members.values()) {
+            h.suspectUntil += late;
+        }
+        nextProbe = now + tuning.period() * random.nextDouble();
+        nextSync = now;
+    }
+
+    /**
+     * Whose time to speak for itself is over is dead, unless many fell silent together: that is a cut, or a restart of many,
+     * and nobody can tell from one side. They stay suspected, and are waited for.
+     */
+    private void judgeSuspects(double now) {
+        if (suspects.isEmpty()) {
+            return;
+        }
+        boolean cut = cut();
+        for (String name : List.copyOf(suspects)) {
+            Held h = members.get(name);
+            if (now >= h.suspectUntil && !(cut && now < h.suspectedAt + tuning.cutKept())) {
+                hear(now, h.claim.as(Status.DEAD, self.name()));
+            }
+        }
+    }
+
+    /** Whether so many are silent together that it is taken for a cut, or for this member's own. */
+    public boolean cut() {
+        return suspects.size() >= tuning.cutLeast() && suspects.size() >= tuning.cutPart() * (alive + suspects.size());
+    }
+
+    private void judgeProbe(double now) {
+        if (probe == null) {
+            return;
+        }
+        Held h = members.get(probe.name);
+        if (h == null || h.claim.status().over()) {
+            probe = null;
+        } else if (now >= probe.until) {
+            // Who asked others, and hears not even that they have no answer, is itself the one that hears little.
+            worsen(probe.asked == 0 || probe.nacks < probe.asked ? Math.max(1, probe.asked - probe.nacks) : 0);
+            probe = null;
+            hear(now, h.claim.as(Status.SUSPECT, self.name()));
+        } else if (now >= probe.directUntil && probe.asked == 0) {
+            List<Held> others = pick(tuning.indirect(), probe.name, false);
+            probe.asked = others.size();
+            others.forEach(o -> out.send(o.claim.address(), new Message.Ask(probe.number, h.claim.address(), ride())));
+        }
+    }
+
+    private void worsen(int by) {
+        health = Math.min(tuning.health(), health + by);
+    }
+
+    private void probe(double now) {
+        // One probe of four goes to one that is suspected: only then it hears of it for sure, and speaks for itself.
+        Held h = !suspects.isEmpty() && random.nextInt(4) == 0 ? suspect() : next();
+        if (h == null) {
+            return;
+        }
+        long number = ++numbers;
+        double scale = 1 + health;
+        probe = new Probe(h.claim.name(), number, now + tuning.timeout() * scale, now + 0.9 * tuning.period() * scale);
+        out.send(h.claim.address(), new Message.Ping(number, rideWith(h.claim)));
+    }
+
+    private Held suspect() {
+        return members.get(suspects.stream().skip(random.nextInt(suspects.size())).findFirst().orElseThrow());
+    }
+
+    /** The next of a round in which each member that may be there comes once, in an order drawn anew. */
+    private Held next() {
+        for (int tries = 0; tries < 2; tries++) {
+            while (!round.isEmpty()) {
+                Held h = members.get(round.remove(round.size() - 1));
+                if (h != null && !h.claim.status().over()) {
+                    return h;
+                }
+            }
+            members.forEach((name, h) -> {
+                if (!h.claim.status().over()) {
+                    round.add(name);
+                }
+            });
+            shuffle(round);
+        }
+        return null;
+    }
+
+    private void shuffle(List<String> list) {
+        for (int i = list.size() - 1; i > 0; i--) {
+            Collections.swap(list, i, random.nextInt(i + 1));
+        }
+    }
+
+    /** A few others, drawn: those that answer, or, {@code suspected}, also those that may. */
+    private List<Held> pick(int most, String except, boolean suspected) {
+        List<Held> all = new ArrayList<>(members.values().stream().filter(h -> h.claim.status() == Status.ALIVE
+                || suspected && h.claim.status() == Status.SUSPECT).filter(h -> !h.claim.name().equals(except)).toList());
+        List<Held> picked = new ArrayList<>();
+        while (picked.size() < most && !all.isEmpty()) {
+            picked.add(all.remove(random.nextInt(all.size())));
+        }
+        return picked;
+    }
+
+    /**
+     * All that is held, with one other: a member, or now and then a seed or one that is held dead. So what a cut kept apart
+     * finds together again, and a fleet whose seeds are gone lives on without them.
+     */
+    private void sync() {
+        List<Held> there = pick(1, "", true);
+        List<String> gone = new ArrayList<>();
+        members.values().stream().filter(h -> h.claim.status() == Status.DEAD).forEach(h -> gone.add(h.claim.address()));
+        Set<String> known = new HashSet<>();
+        members.values().stream().filter(h -> !h.claim.status().over()).forEach(h -> known.add(h.claim.address()));
+        seeds.stream().filter(a -> !known.contains(a)).forEach(gone::add);
+        if (!there.isEmpty()) {
+            tell(there.get(0).claim.address(), 1, true);
+        }
+        if (!gone.isEmpty()) {
+            out.send(gone.get(random.nextInt(gone.size())), new Message.Sync(true, List.of(self)));
+        }
+    }
+
+    /** A few parts of all that is held, the next ones each time: what it costs does not grow with the fleet. */
+    private void tell(String address, int parts, boolean wants) {
+        List<Held> all = new ArrayList<>(members.values());
+        for (int part = 0; part < parts && (part == 0 || part * (SYNC_PART - 1) < all.size()); part++) {
+            List<Claim> claims = new ArrayList<>();
+            claims.add(self);
+            for (int i = 0; i < Math.min(SYNC_PART - 1, all.size()); i++) {
+                cursor = (cursor + 1) % all.size();
+                claims.add(all.get(cursor).claim);
+            }
+            out.send(address, new Message.Sync(wants && part == 0, claims));
+        }
+    }
+
+    // --- messages ---
+
+    /** A message came from this address. */
+    public void receive(double now, String from, Message message) {
+        if (left) {
+            return;
+        }
+        message.claims().forEach(c -> hear(now, c));
+        if (message instanceof Message.Ping ping) {
+            out.send(from, new Message.Ack(ping.number(), ride()));
+        } else if (message instanceof Message.Ack ack) {
+            acked(ack.number());
+        } else if (message instanceof Message.Nack nack) {
+            if (probe != null && probe.number == nack.number()) {
+                probe.nacks++;
+            }
+        } else if (message instanceof Message.Sync sync) {
+            if (sync.wants()) {
+                tell(from, SYNC_PARTS, false);
+            }
+        } else if (message instanceof Message.Ask ask && behalf.size() < tuning.most()) {
+            long number = ++numbers;
+            behalf.put(number, new Behalf(from, ask.number(), now + tuning.timeout()));
+            out.send(ask.address(), new Message.Ping(number, ride()));
+        }
+    }
+
+    private void acked(long number) {
+        Behalf b = behalf.remove(number);
+        if (b != null) {
+            out.send(b.forAddress, new Message.Ack(b.theirNumber, ride()));
+        } else if (probe != null && probe.number == number) {
+            probe = null;
+            health = Math.max(0, health - 1);
+        }
+    }
+
+    // --- claims ---
+
+    private void hear(double now, Claim claim) {
+        if (claim.name().equals(self.name())) {
+            ofMyself(now, claim);
+            return;
+        }
+        Held h = members.get(claim.name());
+        Claim before = h == null ? null : h.claim;
+        if (!claim.overrides(before)) {
+            if (before.status() == Status.SUSPECT && claim.status() == Status.SUSPECT && claim.version().equals(before.version())) {
+                confirm(h, claim);
+            }
+            return;
+        }
+        if (h == null) {
+            if (members.size() >= tuning.most() || claim.status().over()) {
+                return;
+            }
+            h = new Held();
+            members.put(claim.name(), h);
+            round.add(round.isEmpty() ? 0 : random.nextInt(round.size() + 1), claim.name());
+        }
+        count(before, -1);
+        count(claim, 1);
+        h.claim = claim;
+        h.since = now;
+        h.suspectedBy.clear();
+        if (claim.status() == Status.SUSPECT) {
+            h.suspectedAt = now;
+            h.suspectedBy.add(claim.by());
+            h.suspectUntil = now + tuning.suspicionMost();
+        }
+        riding.put(claim.name(), new Riding(claim));
+        news = true;
+        out.changed(now, before, claim);
+    }
+
+    private void count(Claim claim, int by) {
+        if (claim != null && claim.status() == Status.ALIVE) {
+            alive += by;
+        } else if (claim != null && claim.status() == Status.SUSPECT) {
+            if (by > 0) {
+                suspects.add(claim.name());
+            } else {
+                suspects.remove(claim.name());
+            }
+        }
+    }
+
+    /** Others that found it silent, too, shorten its time; one that hears little alone does not. */
+    private void confirm(Held h, Claim claim) {
+        if (h.suspectedBy.size() <= tuning.confirmations() && h.suspectedBy.add(claim.by())) {
+            double part = Math.log(h.suspectedBy.size()) / Math.log(tuning.confirmations() + 1);
+            double time = Math.max(tuning.suspicionLeast(), tuning.suspicionMost() - (tuning.suspicionMost() - tuning.suspicionLeast()) * part);
+            h.suspectUntil = Math.min(h.suspectUntil, h.suspectedAt + time);
+            riding.put(claim.name(), new Riding(claim));
+        }
+    }
+
+    private void ofMyself(double now, Claim claim) {
+        boolean mine = claim.version().sameStay(self.version());
+        if (mine && claim.status().over()) {
+            // Declared dead, and alive: that stay is over, another begins.
+            rise(now, self.version().rising(claim.version().era()));
+            worsen(1);
+        } else if (mine && claim.status() == Status.SUSPECT && claim.version().incarnation() >= self.version().incarnation()) {
+            rise(now, self.version().refuting(claim.version().incarnation()));
+            worsen(1);
+        } else if (claim.version().life() == self.version().life() && claim.version().era() > self.version().era()) {
+            rise(now, self.version().rising(claim.version().era()));
+        }
+    }
+
+    private void rise(double now, Version version) {
+        Claim before = self;
+        self = new Claim(self.name(), self.address(), self.zone(), version, Status.ALIVE, self.name());
+        riding.put(self.name(), new Riding(self));
+        news = true;
+        out.changed(now, before, self);
+    }
+
+    private List<Claim> ride() {
+        return rideWith(null);
+    }
+
+    /** Claims that were sent on least first; with one on whom they go to, who then may speak for itself. */
+    private List<Claim> rideWith(Claim first) {
+        int most = tuning.repeats() * (int) Math.ceil(Math.log(members.size() + 2) / LN2);
+        List<Claim> picked = new ArrayList<>();
+        if (first != null && first.status() == Status.SUSPECT) {
+            picked.add(first);
+        }
+        riding.values().stream().sorted(Comparator.comparingInt(r -> r.sent)).limit(tuning.riding()).forEach(r -> {
+            r.sent++;
+            picked.add(r.claim);
+        });
+        riding.values().removeIf(r -> r.sent >= most);
+        return picked;
+    }
+
+    // --- the end, and what is held ---
+
+    /** Says that it leaves, to a few who tell the others. */
+    public void leave(double now) {
+        Claim before = self;
+        self = self.as(Status.LEFT, self.name());
+        riding.put(self.name(), new Riding(self));
+        for (Held h : pick(2 * tuning.indirect(), "", false)) {
+            out.send(h.claim.address(), new Message.Ping(++numbers, ride()));
+        }
+        left = true;
+        out.changed(now, before, self);
+    }
+
+    /** What this member says of itself. */
+    public Claim self() {
+        return self;
+    }
+
+    /** What is held of the others, those that are over included for a while. */
+    public Collection<Claim> others() {
+        return members.values().stream().map(h -> h.claim).toList();
+    }
+
+    /** What is held of a member, or null. */
+    public Claim of(String name) {
+        Held h = members.get(name);
+        return h == null ? null : h.claim;
+    }
+
+    /** How far this member doubts itself: 0 is not at all. */
+    public int health() {
+        return health;
+    }
+
+    /** Names of those that are held to be there, in no order. */
+    public Set<String> there() {
+        Set<String> names = new LinkedHashSet<>();
+        members.forEach((name, h) -> {
+            if (!h.claim.status().over()) {
+                names.add(name);
+            }
+        });
+        return names;
+    }
+}
--- /dev/null
+++ b/src/test/java/tinroad/fleet/ClaimTest.java
@@ -0,0 +1,67 @@
+package tinroad.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import org.junit.jupiter.api.Test;
+
+/** Which word counts: whatever comes, in whatever order and however often, all end up with the same. */
+class ClaimTest {
+    @Provide
+    Arbitrary<List<Claim>> claims() {
+        return Combinators.combine(Arbitraries.longs().between(1, 3), Arbitraries.integers().between(0, 2),
+                Arbitraries.integers().between(0, 3), Arbitraries.of(Status.class))
+                .as((life, era, incarnation, status) -> new Claim("a", "x", "z", new Version(life, era, incarnation), status, "b"))
+                .list().ofMinSize(1).ofMaxSize(12);
+    }
+
+    private static Claim join(List<Claim> all) {
+        Claim held = null;
+        for (Claim c : all) {
+            held = c.overrides(held) ? c : held;
+        }
+        return held;
+    }
+
+    private static String meaning(Claim c) {
+        // Of a stay that is over the incarnation means nothing any more.
+        return c.version().life() + "." + c.version().era() + (c.status().over() ? "" : "." + c.version().incarnation()) + " " + c.status();
+    }
+
+    @Property(tries = 2000, seed = "41")
+    void orderAndRepetitionDoNotMatter(@ForAll("claims") List<Claim> claims, @ForAll long seed) {
+        List<Claim> other = new java.util.ArrayList<>(claims);
+        other.addAll(claims.subList(0, claims.size() / 2));
+        Collections.shuffle(other, new Random(seed));
+        assertEquals(meaning(join(claims)), meaning(join(other)));
+    }
+
+    @Property(tries = 2000, seed = "42")
+    void noWordOverridesItselfNorBothEachOther(@ForAll("claims") List<Claim> claims) {
+        for (Claim a : claims) {
+            assertFalse(a.overrides(a));
+            for (Claim b : claims) {
+                assertFalse(a.overrides(b) && b.overrides(a), a + " " + b);
+            }
+        }
+    }
+
+    @Test
+    void aStayThatIsOverNeverComesBackAndAnotherDoes() {
+        Claim dead = new Claim("a", "x", "z", new Version(4, 0, 0), Status.DEAD, "b");
+        assertFalse(new Claim("a", "x", "z", new Version(4, 0, 9), Status.ALIVE, "a").overrides(dead));
+        assertFalse(new Claim("a", "x", "z", new Version(3, 7, 9), Status.ALIVE, "a").overrides(dead));
+        assertTrue(new Claim("a", "x", "z", new Version(4, 1, 0), Status.ALIVE, "a").overrides(dead));
+        assertTrue(new Claim("a", "x", "z", new Version(5, 0, 0), Status.ALIVE, "a").overrides(dead));
+    }
+}
