Give members that a cut kept apart their time anew once it is healed

Cause (a count of who held whom suspected or dead, each half second after a cut of 6 s among 100): once the suspected were fewer than a fifth, the rest, whose time was long over, were declared dead at once; and who is held dead was never told, so one stayed dead for good. Lines: Membership.judgeSuspects and sync.

--- a/src/main/java/tinroad/fleet/Membership.java
+++ b/src/main/java/tinroad/fleet/Membership.java
@@ -175,7 +175,10 @@
         boolean cut = cut();
         for (String name : List.copyOf(suspects)) {
             Held h = members.get(name);
-            if (now >= h.suspectUntil && !(cut && now < h.suspectedAt + tuning.cutKept())) {
+            if (cut && now < h.suspectedAt + tuning.cutKept()) {
+                // Once it is healed, each has its time to speak for itself: the last ones must not fall as the others are cleared.
+                h.suspectUntil = Math.max(h.suspectUntil, now + tuning.suspicionLeast());
+            } else if (now >= h.suspectUntil) {
                 hear(now, h.claim.as(Status.DEAD, self.name()));
             }
         }
@@ -267,16 +270,19 @@
      */
     private void sync() {
         List<Held> there = pick(1, "", true);
-        List<String> gone = new ArrayList<>();
-        members.values().stream().filter(h -> h.claim.status() == Status.DEAD).forEach(h -> gone.add(h.claim.address()));
+        Map<String, List<Claim>> gone = new LinkedHashMap<>();
         Set<String> known = new HashSet<>();
         members.values().stream().filter(h -> !h.claim.status().over()).forEach(h -> known.add(h.claim.address()));
-        seeds.stream().filter(a -> !known.contains(a)).forEach(gone::add);
+        seeds.stream().filter(a -> !known.contains(a)).forEach(a -> gone.put(a, List.of(self)));
+        // Who is held dead, and lives, must hear of it: only another stay brings it back.
+        members.values().stream().filter(h -> h.claim.status() == Status.DEAD && !known.contains(h.claim.address()))
+                .forEach(h -> gone.put(h.claim.address(), List.of(self, h.claim)));
         if (!there.isEmpty()) {
             tell(there.get(0).claim.address(), 1, true);
         }
         if (!gone.isEmpty()) {
-            out.send(gone.get(random.nextInt(gone.size())), new Message.Sync(true, List.of(self)));
+            String address = gone.keySet().stream().skip(random.nextInt(gone.size())).findFirst().orElseThrow();
+            out.send(address, new Message.Sync(true, gone.get(address)));
         }
     }
 
