--- a/src/test/java/tinroad/cli/MainTest.java
+++ b/src/test/java/tinroad/cli/MainTest.java
@@ -104,6 +104,8 @@
 
     @Test
     void figuresArePrintedAsATableAndAsJson() throws IOException {
+        byte[] recovery = ("{\"phase\":\"ramping\",\"since_ms\":70,\"shown_per_s\":null,\"remembered\":[{\"what\":\"run.read\",\"value\":24.5,"
+                + "\"age_ms\":61000,\"life\":3}]}").getBytes(StandardCharsets.US_ASCII);
         byte[] body = "{\"success\":{\"new-order\":7},\"busy\":{\"new-order\":2},\"failure\":{\"new-order\":0}}"
                 .getBytes(StandardCharsets.US_ASCII);
         HttpServer door = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
@@ -112,6 +114,11 @@
             call.getResponseBody().write(body);
             call.close();
         });
+        door.createContext("/api/recovery", call -> {
+            call.sendResponseHeaders(200, recovery.length);
+            call.getResponseBody().write(recovery);
+            call.close();
+        });
         door.start();
         String at = "127.0.0.1:" + door.getAddress().getPort();
         try {
@@ -120,6 +127,10 @@
             out.reset();
             assertEquals(0, run("", "figures", "--control", at));
             assertTrue(out.toString(StandardCharsets.UTF_8).lines().toList().get(1).matches(" new-order +7 +2 +0 *"), out::toString);
+            out.reset();
+            assertEquals(0, run("", "figures", "--control", at, "--of", "recovery"));
+            assertEquals(List.of(" phase ramping", " since_ms 70", " shown_per_s -", " remembered run.read 24.5, 61 s old, of life 3"),
+                    out.toString(StandardCharsets.UTF_8).lines().skip(1).map(l -> l.stripTrailing().replaceAll(" +", " ")).toList());
         } finally {
             door.stop(0);
         }
