--- a/src/test/java/tinroad/LayersTest.java
+++ b/src/test/java/tinroad/LayersTest.java
@@ -25,7 +25,7 @@
                 .layer("cli").definedBy("tinroad.cli..")
                 .layer("node").definedBy("tinroad.node..")
                 .layer("edges").definedBy("tinroad.fastcgi..", "tinroad.engine..", "tinroad.upstream..", "tinroad.control..",
-                        "tinroad.roster..", "tinroad.drill..")
+                        "tinroad.roster..", "tinroad.drill..", "tinroad.gossip..")
                 .layer("lab").definedBy("tinroad.lab..", "tinroad.model..")
                 .layer("core").definedBy("tinroad.core..")
                 .layer("decisions").definedBy("tinroad.route..", "tinroad.translate..", "tinroad.expect..", "tinroad.recovery..",
