Let gateways know who is there, over UDP with a MAC: operator file, members, /api/members

fleet { listen, seeds, zone, key-file }, off without it: no thread, no socket. Nothing is decided by it yet. Five real processes in a test: one killed and back in a later life, one stopped for 1.5 s and not taken for dead, one left and back.

--- a/src/main/java/tinroad/cli/Check.java
+++ b/src/main/java/tinroad/cli/Check.java
@@ -6,6 +6,7 @@
 import tinroad.config.GatewayConfig;
 import tinroad.fastcgi.FastCgiFront;
 import tinroad.node.Server;
+import tinroad.operator.FleetSettings;
 import tinroad.operator.Operator;
 import tinroad.operator.StateSettings;
 
@@ -29,7 +30,7 @@
             if (FastCgiFront.taken(config.listen(), false)) {
                 throw new IOException("can't listen on " + config.listen() + ": another process does");
             }
-            try (Server server = new Server(config, null, StateSettings.NONE)) {
+            try (Server server = new Server(config, null, StateSettings.NONE, FleetSettings.NONE)) {
                 server.start();
                 server.leave();
             }
--- a/src/main/java/tinroad/cli/FiguresCall.java
+++ b/src/main/java/tinroad/cli/FiguresCall.java
@@ -1,23 +1,15 @@
 package tinroad.cli;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.PrintStream;
-import java.net.URI;
-import java.net.http.HttpClient;
-import java.net.http.HttpRequest;
-import java.net.http.HttpResponse;
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import org.kohsuke.args4j.Option;
 
 /** {@code figures}: asks a running gateway, through its operators' door, what it has done so far. */
 public final class FiguresCall extends Command {
-    private static final Duration PATIENCE = Duration.ofSeconds(5);
-
     @Option(name = "--control", metaVar = "ADDRESS:PORT", required = true, usage = "the gateway's operators' door")
     private String control;
 
@@ -39,34 +31,23 @@
 
     @Override
     int run(InputStream in, PrintStream out, PrintStream err) {
-        try {
-            HttpRequest call = HttpRequest.newBuilder(URI.create("http://" + control
-                    + (what == What.ANSWERS ? "/api/telemetry" : "/api/recovery"))).timeout(PATIENCE).build();
-            HttpResponse<byte[]> answer = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).connectTimeout(PATIENCE)
-                    .build().send(call, HttpResponse.BodyHandlers.ofByteArray());
-            JsonNode figures = new ObjectMapper().readTree(answer.body());
-            if (answer.statusCode() != 200 || !figures.path("success").isObject() && !figures.path("phase").isTextual()) {
-                throw new IOException("status " + answer.statusCode() + ", no figures");
-            }
-            if (what == What.RECOVERY) {
+        return Door.ask(control, what == What.ANSWERS ? "/api/telemetry" : "/api/recovery", "figures", err, figures -> {
+            if (what == What.RECOVERY && figures.path("phase").isTextual()) {
                 recovery(figures, out);
-                return FINE;
+            } else if (figures.path("success").isObject()) {
+                answers(figures, out);
+            } else {
+                throw new IOException("no figures");
             }
-            List<List<Object>> rows = new ArrayList<>();
-            figures.get("success").fieldNames().forEachRemaining(name -> rows.add(List.of(name,
-                    figures.at("/success/" + name).asLong(), figures.at("/busy/" + name).asLong(),
-                    figures.at("/failure/" + name).asLong())));
-            output.print(List.of("class", "success", "busy", "failure"), rows, out);
-            return FINE;
-        } catch (IllegalArgumentException e) {
-            err.println("tinroad: --control is no ADDRESS:PORT: '" + control + "'");
-            return WRONG;
-        } catch (IOException e) {
-            err.println("tinroad: no figures from " + control + ": " + (e.getMessage() == null ? e.toString() : e.getMessage()));
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-        return FAILED;
+        });
+    }
+
+    private void answers(JsonNode figures, PrintStream out) {
+        List<List<Object>> rows = new ArrayList<>();
+        figures.get("success").fieldNames().forEachRemaining(name -> rows.add(List.of(name,
+                figures.at("/success/" + name).asLong(), figures.at("/busy/" + name).asLong(),
+                figures.at("/failure/" + name).asLong())));
+        output.print(List.of("class", "success", "busy", "failure"), rows, out);
     }
 
     /** The phase and its reasons first, then each value of an earlier life that this one began with. */
--- a/src/main/java/tinroad/cli/Main.java
+++ b/src/main/java/tinroad/cli/Main.java
@@ -21,6 +21,7 @@
         COMMANDS.put("serve", Serve::new);
         COMMANDS.put("check", Check::new);
         COMMANDS.put("figures", FiguresCall::new);
+        COMMANDS.put("members", MembersCall::new);
         COMMANDS.put("wirehost", WireHost::new);
         COMMANDS.put("lab", LabCommand::new);
         COMMANDS.put("state", StateCommand::new);
--- a/src/main/java/tinroad/cli/Serve.java
+++ b/src/main/java/tinroad/cli/Serve.java
@@ -8,6 +8,7 @@
 import tinroad.config.ConfigException;
 import tinroad.config.GatewayConfig;
 import tinroad.node.Server;
+import tinroad.operator.FleetSettings;
 import tinroad.operator.Operator;
 import tinroad.operator.OperatorException;
 import tinroad.operator.StateSettings;
@@ -27,7 +28,7 @@
     void run(GatewayConfig config, Operator operator, PrintStream out) throws IOException, InterruptedException {
         LogSink sink = LogSink.of(operator);
         try (Server server = new Server(config, System.getenv("TMPDIR"),
-                operator == null ? StateSettings.NONE : operator.state())) {
+                operator == null ? StateSettings.NONE : operator.state(), operator == null ? FleetSettings.NONE : operator.fleet())) {
             // Before anything can reach this process: a virtual machine that nobody handles the signals for ends on them.
             if (!leaveOnNotice(server, sink)) {
                 return;
--- a/src/main/java/tinroad/control/ControlCall.java
+++ b/src/main/java/tinroad/control/ControlCall.java
@@ -27,12 +27,14 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.IntToLongFunction;
+import java.util.function.Supplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import tinroad.core.Figures;
 import tinroad.recovery.Memory;
 import tinroad.recovery.Comeback;
 import tinroad.core.Gateway;
+import tinroad.fleet.Membership;
 
 /** One connection of an operator: one call, its answer, and the end. */
 final class ControlCall extends SimpleChannelInboundHandler<FullHttpRequest> {
@@ -42,11 +44,13 @@
     private static final Logger LOG = LoggerFactory.getLogger("control");
 
     private final Gateway gateway;
+    private final Supplier<Membership> fleet;
     private Future<?> patience;
     private boolean called;
 
-    ControlCall(Gateway gateway) {
+    ControlCall(Gateway gateway, Supplier<Membership> fleet) {
         this.gateway = gateway;
+        this.fleet = fleet;
     }
 
     @Override
@@ -74,7 +78,7 @@
         }
         String path = new QueryStringDecoder(call.uri()).path();
         HttpMethod method = switch (path) {
-            case "/api/ready", "/api/telemetry", "/api/recovery" -> HttpMethod.GET;
+            case "/api/ready", "/api/telemetry", "/api/recovery", "/api/members" -> HttpMethod.GET;
             case "/api/evacuate", "/api/rejoin" -> HttpMethod.POST;
             default -> null;
         };
@@ -91,6 +95,7 @@
                     : text(HttpResponseStatus.SERVICE_UNAVAILABLE, "not ready");
             case "/api/telemetry" -> figures();
             case "/api/recovery" -> recovery();
+            case "/api/members" -> fleet.get() == null ? text(HttpResponseStatus.CONFLICT, "this gateway speaks with no others") : members();
             case "/api/evacuate" -> {
                 gateway.evacuate();
                 yield text(HttpResponseStatus.OK, "draining");
@@ -149,6 +154,34 @@
         return response(HttpResponseStatus.OK, "application/json", body);
     }
 
+    /** Who is held to be there, in which stay, since when and by whose word; itself first. */
+    private FullHttpResponse members() {
+        ByteBuf body = Unpooled.buffer();
+        try (JsonGenerator json = JSON.createGenerator((OutputStream) new ByteBufOutputStream(body))) {
+            json.writeStartObject();
+            json.writeBooleanField("cut", fleet.get().cut());
+            json.writeNumberField("doubts", fleet.get().health());
+            json.writeArrayFieldStart("members");
+            for (Membership.Line l : fleet.get().lines(gateway.now())) {
+                json.writeStartObject();
+                json.writeStringField("name", l.claim().name());
+                json.writeStringField("status", l.claim().status().name().toLowerCase(Locale.ROOT));
+                json.writeStringField("zone", l.claim().zone());
+                json.writeStringField("address", l.claim().address());
+                json.writeNumberField("life", l.claim().version().life());
+                json.writeNumberField("since_ms", Math.round(l.since()));
+                json.writeStringField("by", l.claim().by());
+                json.writeEndObject();
+            }
+            json.writeEndArray();
+            json.writeEndObject();
+        } catch (IOException e) {
+            // Can't happen: the buffer is memory, and grows as needed.
+            throw new UncheckedIOException(e);
+        }
+        return response(HttpResponseStatus.OK, "application/json", body);
+    }
+
     /** JSON has no infinite number and none that is absent: null stands for both. */
     private static void number(JsonGenerator json, String name, double value) throws IOException {
         if (Double.isFinite(value)) {
--- a/src/main/java/tinroad/control/ControlServer.java
+++ b/src/main/java/tinroad/control/ControlServer.java
@@ -14,7 +14,9 @@
 import java.net.InetSocketAddress;
 import java.util.LinkedHashSet;
 import java.util.Set;
+import java.util.function.Supplier;
 import tinroad.core.Gateway;
+import tinroad.fleet.Membership;
 
 /** The operators' door: HTTP/1.1, one call for each connection. */
 public final class ControlServer {
@@ -24,11 +26,18 @@
     static final int LONGEST_BODY = 4096;
 
     private final Gateway gateway;
+    private final Supplier<Membership> fleet;
     private final Set<Channel> open = new LinkedHashSet<>();
 
     /** A door to {@code gateway}. */
     public ControlServer(Gateway gateway) {
+        this(gateway, () -> null);
+    }
+
+    /** A door to {@code gateway} and to what it knows of others; {@code fleet} tells null where it speaks with nobody. */
+    public ControlServer(Gateway gateway, Supplier<Membership> fleet) {
         this.gateway = gateway;
+        this.fleet = fleet;
     }
 
     /** Begins to listen, on the one event loop that owns the gateway. */
@@ -47,7 +56,7 @@
     /** What an operator's connection is read with. */
     public ChannelHandler[] handlers() {
         return new ChannelHandler[] {new HttpServerCodec(), new HttpObjectAggregator(LONGEST_BODY, true),
-            new ControlCall(gateway)};
+            new ControlCall(gateway, fleet)};
     }
 
     /** Guards against callers that connect and say nothing: they never keep the others out. */
--- a/src/main/java/tinroad/fleet/Membership.java
+++ b/src/main/java/tinroad/fleet/Membership.java
@@ -95,6 +95,7 @@
     private double nextNews;
     private boolean news;
     private double lastTick;
+    private double selfSince;
     private boolean left;
 
     /** A member that stands as {@code self} says, and knows these addresses to begin with. */
@@ -108,6 +109,7 @@
 
     /** Begins: the first probes and the first word to a seed are spread over a period, so that a fleet does not begin as one. */
     public void start(double now) {
+        selfSince = now;
         lastTick = now;
         nextProbe = now + random.nextDouble() * tuning.period();
         nextSync = now + random.nextDouble() * tuning.period();
@@ -414,6 +416,7 @@
     private void rise(double now, Version version) {
         Claim before = self;
         self = new Claim(self.name(), self.address(), self.zone(), version, Status.ALIVE, self.name());
+        selfSince = now;
         riding.put(self.name(), new Riding(self));
         news = true;
         out.changed(now, before, self);
@@ -452,6 +455,18 @@
         out.changed(now, before, self);
     }
 
+    /** What is held of a member, and for how long, in ms. */
+    public record Line(Claim claim, double since) { }
+
+    /** All that is held, itself first, the others by name. */
+    public List<Line> lines(double now) {
+        List<Line> lines = new ArrayList<>();
+        members.values().forEach(h -> lines.add(new Line(h.claim, now - h.since)));
+        lines.sort(Comparator.comparing(l -> l.claim.name()));
+        lines.add(0, new Line(self, now - selfSince));
+        return lines;
+    }
+
     /** What this member says of itself. */
     public Claim self() {
         return self;
--- a/src/main/java/tinroad/lab/Lab.java
+++ b/src/main/java/tinroad/lab/Lab.java
@@ -19,6 +19,7 @@
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
+import java.util.Base64;
 import java.util.Comparator;
 import java.util.EnumMap;
 import java.util.List;
@@ -92,7 +93,8 @@
      *
      * @param jar the program of the gateways: a jar, or a class path
      * @param folder where the gateways' folders are made
-     * @param operator an operator file that each gateway gets a copy of, in its folder; null for none
+     * @param operator an operator file that each gateway gets a copy of, in its folder; null for none. {@code @HOST@}, {@code @ZONE@},
+     *     {@code @FIRST@}, {@code @SECOND@} and {@code @KEYS@} stand for its address and zone, the addresses of the first two, and a key file
      * @param progress gets a line a second; null for none
      */
     public record Options(String jar, Path folder, Path operator, PrintStream progress, Mutant mutant) { }
@@ -382,8 +384,7 @@
     /** Starts a process of this gateway; off the event loop. */
     private void begin(Member m, boolean cold, String jar) throws IOException {
         write(m, cold);
-        GatewayProcess process = GatewayProcess.start(jar, m.folder, options.operator == null ? null
-                : Files.copy(options.operator, m.folder.resolve("operator.conf"), StandardCopyOption.REPLACE_EXISTING));
+        GatewayProcess process = GatewayProcess.start(jar, m.folder, options.operator == null ? null : operator(m));
         loop.execute(() -> {
             Life life = ledger.begins(m.number);
             m.life = life;
@@ -400,6 +401,15 @@
         });
     }
 
+    /** The gateway's own copy of the operator file, with its address, its zone, the first two gateways' and a key of this run's in it. */
+    private Path operator(Member m) throws IOException {
+        Path keys = Files.writeString(options.folder.resolve("keys"), Base64.getEncoder().encodeToString(
+                Long.toHexString(Draw.stream(plan.seed(), "keys").nextLong() | Long.MIN_VALUE).getBytes(StandardCharsets.US_ASCII)) + "\n");
+        return Files.writeString(m.folder.resolve("operator.conf"), Files.readString(options.operator).replace("@HOST@", net + host(m.number))
+                .replace("@KEYS@", keys.toAbsolutePath().toString())
+                .replace("@ZONE@", "z" + plan.zone(m.number)).replace("@FIRST@", net + host(0)).replace("@SECOND@", net + host(1)));
+    }
+
     private void note(Member m, String what) {
         ledger.events.add(new Try.Step(now(), "gateway " + m.number, what));
     }
--- a/src/main/java/tinroad/node/Server.java
+++ b/src/main/java/tinroad/node/Server.java
@@ -8,6 +8,8 @@
 import tinroad.engine.EngineLink;
 import tinroad.fastcgi.FastCgiFront;
 import tinroad.log.Keys;
+import tinroad.gossip.Carrier;
+import tinroad.operator.FleetSettings;
 import tinroad.operator.StateSettings;
 import tinroad.recovery.Rereads;
 import tinroad.roster.RosterReporter;
@@ -51,6 +53,9 @@
     /** What lasts, or null where nothing does. */
     private final Remembering remembering;
     private final double saveEvery;
+    private final FleetSettings fleetSettings;
+    /** What speaks with the other gateways, or null where nothing does. */
+    private final Carrier fleet;
     private boolean shared;
     /** What came first: the listener, or the notice to leave. */
     private final AtomicReference<Begun> begun = new AtomicReference<>(Begun.NEITHER);
@@ -64,7 +69,7 @@
      * A gateway that shares {@code directory}, or null, with other processes under the same name. Reads what lasted, and
      * blocks for it.
      */
-    public Server(GatewayConfig config, String directory, StateSettings state) {
+    public Server(GatewayConfig config, String directory, StateSettings state, FleetSettings fleetSettings) {
         this.config = config;
         remembering = state.lasts() ? Remembering.open(state, config.name(), clock.now()) : null;
         saveEvery = state.every();
@@ -78,6 +83,8 @@
         rereads = new Rereads(config.name(), config.seed());
         roster = new RosterReporter(loop, config.roster(), config.name(), config.seed());
         gateway.add(front);
+        this.fleetSettings = fleetSettings;
+        fleet = fleetSettings.speaks() ? new Carrier(loop, fleetSettings.listen(), fleetSettings.keys(), clock::now) : null;
         gateway.onHealth(this::health);
         gateway.comesBack(remembering != null && remembering.distrusts());
         if (remembering != null) {
@@ -113,7 +120,7 @@
      */
     public InetSocketAddress start() throws IOException, InterruptedException {
         if (config.control() != null) {
-            listening(new ControlServer(gateway).listen(loop, config.control()), config.control());
+            listening(new ControlServer(gateway, () -> fleet == null ? null : fleet.membership()).listen(loop, config.control()), config.control());
         }
         // Guards the requests that come while a new version starts: until it takes work, all go to the old one.
         boolean beside = FastCgiFront.taken(config.listen(), false) && !FastCgiFront.taken(config.listen(), true);
@@ -145,6 +152,19 @@
         loop.execute(() -> {
             roster.start();
             engine.start(gateway);
+            if (fleet != null) {
+                join();
+            }
+        });
+    }
+
+    /** Its life in the fleet is the one that its state counts, or, without state, the time of its start. */
+    private void join() {
+        long life = remembering != null && remembering.memory().life() > 0 ? remembering.memory().life() : (long) clock.now();
+        fleet.start(config.name(), fleetSettings.zone(), life, fleetSettings.seeds(), config.seed()).addListener(bound -> {
+            if (!bound.isSuccess()) {
+                LOG.warn("can't hear the fleet on {}, goes on alone: {}", fleetSettings.listen(), bound.cause().getMessage());
+            }
         });
     }
 
@@ -202,6 +222,9 @@
     private void drain(double noticedAt) {
         double leaveAt = noticedAt + Math.max(0, config.stopMs() - EXIT_MARGIN);
         gateway.drain(noticedAt, leaveAt);
+        if (fleet != null) {
+            fleet.leave();
+        }
         double left = leaveAt - clock.now();
         after(Math.max(0, left - CLOSING), front::leave);
         after(Math.max(0, left), this::endOnceEmpty);
--- a/src/main/java/tinroad/operator/Operator.java
+++ b/src/main/java/tinroad/operator/Operator.java
@@ -1,8 +1,10 @@
 package tinroad.operator;
 
 import com.typesafe.config.Config;
+import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
@@ -10,7 +12,7 @@
  * What the operators set beyond the platform's configuration, read and checked once. What a file leaves out has the
  * value that the schema gives as its default.
  */
-public record Operator(LogSettings log, StateSettings state) {
+public record Operator(LogSettings log, StateSettings state, FleetSettings fleet) {
 
     /** Reads the file; throws with all that is wrong in it. A folder that it names is beside it, unless it is absolute. */
     public static Operator read(Path file) throws OperatorException {
@@ -22,7 +24,21 @@
         return new Operator(new LogSettings(log.getString("format").equals("json"), log.getString("level"),
                 Map.copyOf(levels), log.getInt("queue"), ms(log, "flush")),
                 new StateSettings(folder(file, state, "folder"), folder(file, state, "fence"), ms(state, "every"),
-                        state.getInt("keep"), ms(state, "oldest"), ms(state, "half-life")));
+                        state.getInt("keep"), ms(state, "oldest"), ms(state, "half-life")), fleet(file, all.getConfig("fleet")));
+    }
+
+    private static FleetSettings fleet(Path file, Config fleet) throws OperatorException {
+        String listen = fleet.getString("listen");
+        if (listen.isEmpty()) {
+            return FleetSettings.NONE;
+        }
+        Path keys = folder(file, fleet, "key-file");
+        if (keys == null) {
+            throw new OperatorException(List.of(CheckedFile.fault(fleet.getValue("listen"), "fleet.key-file", "must be given where fleet.listen is")));
+        }
+        int colon = listen.lastIndexOf(':');
+        return new FleetSettings(new InetSocketAddress(listen.substring(0, colon), Integer.parseInt(listen.substring(colon + 1))),
+                fleet.getStringList("seeds"), fleet.getString("zone"), FleetSettings.keys(keys));
     }
 
     private static double ms(Config config, String key) {
--- a/src/test/java/tinroad/lab/RememberingTest.java
+++ b/src/test/java/tinroad/lab/RememberingTest.java
@@ -32,6 +32,33 @@
                         .replaceFirst("state-\\d+-\\d+", "FILE")).toList();
     }
 
+    /** Five that speak with each other: one is killed and comes back in a later life, one stands still, one leaves on notice. */
+    @Test
+    void gatewaysThatSpeakWithEachOtherHearWhoIsBack() throws Exception {
+        Path script = Files.writeString(dir.resolve("s.conf"), """
+                length = 14s, settle = 1s, fleet { gateways = 5, zones = 2 }, load.level = 0.4
+                faults = [ { do = kill, at = 3s, gateways = [2], back-least = 500ms, back-most = 500ms, folder = keep }
+                  { do = stop, at = 4s, gateways = [3], for = 1500ms }
+                  { do = notice, at = 5s, gateways = [4], back-least = 500ms, back-most = 500ms, folder = keep } ]
+                """);
+        Path operator = Files.writeString(dir.resolve("o.conf"), "state { folder = tmp/state, every = 100ms }\nfleet { listen = \"@HOST@:7001\","
+                + " seeds = [\"@FIRST@:7001\", \"@SECOND@:7001\"], zone = \"@ZONE@\", key-file = \"@KEYS@\" }\n");
+        try (Lab lab = new Lab(Plan.of(ScriptReader.read(script), 1),
+                new Lab.Options(PROGRAM, dir.resolve("run"), operator, null, Mutant.NONE))) {
+            Report report = new Report(lab.play());
+            assertEquals(List.of(), report.broken().stream().map(b -> b.rule() + ": " + b.what()).toList());
+        }
+        for (int g = 0; g < 2; g++) {
+            String log = Files.readString(dir.resolve("run/g" + g + "/log"));
+            for (int other = 0; other < 5; other++) {
+                assertTrue(other == g || log.contains("fleet - g" + other + " joined, life 1"), log);
+            }
+            assertTrue(log.contains("fleet - g2 is back, life 2") && log.contains("fleet - g4 left, says g4")
+                    && log.contains("fleet - g4 is back, life 2"), log);
+            assertTrue(!log.contains("g3 is dead"), log);
+        }
+    }
+
     /** Gateway 0 keeps its folder, then finds an older copy of it; gateway 1 loses it; gateway 2 is only paused. */
     @Test
     void whatLastsIsBelievedAndWhatWasRolledBackOrLostIsNot() throws Exception {
--- a/src/test/java/tinroad/node/ServerTest.java
+++ b/src/test/java/tinroad/node/ServerTest.java
@@ -20,6 +20,7 @@
 import org.junit.jupiter.api.Timeout;
 import tinroad.Controller;
 import tinroad.config.GatewayConfig;
+import tinroad.operator.FleetSettings;
 import tinroad.operator.StateSettings;
 import tinroad.config.Site;
 
@@ -70,7 +71,7 @@
     void itServesOnceTheEngineIsThereAndEndsWhenItIsToldTo() throws Exception {
         try (ServerSocket engine = new ServerSocket(0, 5, InetAddress.getLoopbackAddress());
                 DatagramSocket roster = new DatagramSocket(0, InetAddress.getLoopbackAddress());
-                Server server = new Server(config(engine, roster), null, StateSettings.NONE)) {
+                Server server = new Server(config(engine, roster), null, StateSettings.NONE, FleetSettings.NONE)) {
             engine.setSoTimeout(HUNG_MS);
             InetSocketAddress address = server.start();
             try (Socket link = engine.accept()) {
@@ -97,7 +98,7 @@
             GatewayConfig free = config(engine, roster);
             GatewayConfig taken = new GatewayConfig(free.name(), (InetSocketAddress) engine.getLocalSocketAddress(),
                     null, free.engine(), free.roster(), 1, 600, 1024, 192, free.site());
-            try (Server server = new Server(taken, null, StateSettings.NONE)) {
+            try (Server server = new Server(taken, null, StateSettings.NONE, FleetSettings.NONE)) {
                 String message = assertThrows(IOException.class, server::start).getMessage();
                 assertTrue(message.startsWith("can't listen on "), message);
             }
--- a/src/test/java/tinroad/operator/OperatorTest.java
+++ b/src/test/java/tinroad/operator/OperatorTest.java
@@ -26,13 +26,13 @@
 
     @Test
     void whatIsLeftOutHasItsDefault() throws Exception {
-        assertEquals(new Operator(DEFAULTS, NOTHING_LASTS), Operator.read(file("log {}")));
-        assertEquals(new Operator(DEFAULTS, NOTHING_LASTS), Operator.read(Path.of("deploy/operator.conf")));
+        assertEquals(new Operator(DEFAULTS, NOTHING_LASTS, FleetSettings.NONE), Operator.read(file("log {}")));
+        assertEquals(new Operator(DEFAULTS, NOTHING_LASTS, FleetSettings.NONE), Operator.read(Path.of("deploy/operator.conf")));
     }
 
     @Test
     void settingsAreReadWithTheirUnits() throws Exception {
-        assertEquals(new Operator(new LogSettings(true, "warn", Map.of("engine", "debug", "io.netty", "off"), 64, 1500), NOTHING_LASTS),
+        assertEquals(new Operator(new LogSettings(true, "warn", Map.of("engine", "debug", "io.netty", "off"), 64, 1500), NOTHING_LASTS, FleetSettings.NONE),
                 Operator.read(file("\ufefflog { format = json, level = warn, queue = 64, flush = 1.5 seconds\r\n"
                         + "levels { engine = debug, \"io.netty\" = off } }")));
     }
@@ -43,6 +43,21 @@
         assertEquals(new StateSettings(dir.resolve("kept"), Path.of("/var/fence"), 5000, 3, 7_200_000, 600_000), o.state());
     }
 
+    @Test
+    void keysAreReadFromAFileOfTheirOwnAndItsFaultsToldByLine() throws Exception {
+        Files.writeString(dir.resolve("keys"), "# new\nYW5vdGhlciBzaXh0ZWVuLg==\nc2l4dGVlbiBieXRlcy4uLg==\n");
+        String text = "fleet { listen = \"127.0.0.1:7001\", seeds = [\"127.0.0.2:7001\"], zone = west, key-file = keys }";
+        FleetSettings fleet = Operator.read(file(text)).fleet();
+        assertEquals("another sixteen.", new String(fleet.keys().get(0), java.nio.charset.StandardCharsets.US_ASCII));
+        assertEquals(2, fleet.keys().size());
+        Files.writeString(dir.resolve("keys"), "\nshort\n");
+        Path path = file(text);
+        assertEquals(List.of(new Fault(dir.resolve("keys").toString(), 2, "", "must be Base64 of 16 bytes or more")),
+                assertThrows(OperatorException.class, () -> Operator.read(path)).faults());
+        Path keyless = file("fleet {\n listen = \"127.0.0.1:7001\"\n}");
+        assertEquals("fleet.key-file", assertThrows(OperatorException.class, () -> Operator.read(keyless)).faults().get(0).key());
+    }
+
     @Test
     void anIncludedFileCountsAndMayBeOverridden() throws Exception {
         Files.writeString(dir.resolve("base.conf"), "log { level = error, queue = 99 }");
