--- a/src/main/java/tinroad/gossip/Carrier.java
+++ b/src/main/java/tinroad/gossip/Carrier.java
@@ -35,6 +35,7 @@
     /** Datagrams a second at most: what a member sends while a fleet of a hundred loses two fifths of all is a sixth of it. */
     private static final int MOST_SENT = 300;
     private static final int MOST_READ = 1000;
+    private static final double CUT_TOLD = 5000;
     private static final int MOST_ADDRESSES = 4096;
 
     private final EventLoop loop;
@@ -48,6 +49,7 @@
     private int sent;
     private int read;
     private boolean cut;
+    private double cutToldAt;
 
     /** A carrier that hears at this address; {@code clock} is Unix ms that never step back. */
     public Carrier(EventLoop loop, InetSocketAddress at, List<byte[]> keys, DoubleSupplier clock) {
@@ -93,8 +95,10 @@
             sent = 0;
             read = 0;
         }
-        membership.tick(now);
-        if (membership.cut() != cut) {
+        guarded(() -> membership.tick(now));
+        // Told at most every few seconds: at the edge of it both follow each other quickly.
+        if (membership.cut() != cut && now - cutToldAt >= CUT_TOLD) {
+            cutToldAt = now;
             cut = membership.cut();
             LOG.warn(cut ? "many are silent together: a cut, or a restart of many" : "healed: few are silent");
         }
@@ -107,7 +111,16 @@
         }
         Message message = datagrams.read(ByteBufUtil.getBytes(packet.content()));
         if (message != null) {
-            membership.receive(clock.getAsDouble(), text(packet.sender()), message);
+            guarded(() -> membership.receive(clock.getAsDouble(), text(packet.sender()), message));
+        }
+    }
+
+    /** Guards against a fault of the decisions: the timer goes on, and the gateway without its fleet. */
+    private static void guarded(Runnable event) {
+        try {
+            event.run();
+        } catch (RuntimeException e) {
+            LOG.error("membership failed", e);
         }
     }
 
