--- a/src/main/java/tinroad/lab/Lab.java
+++ b/src/main/java/tinroad/lab/Lab.java
@@ -389,6 +389,7 @@
             Life life = ledger.begins(m.number);
             m.life = life;
             m.process = process;
+            m.away = false;
             world.lives(m.number, life.number);
             m.engine.restartNotices();
             note(m, "process " + process.pid() + " starts");
@@ -602,7 +603,6 @@
     private void restart(Member m, Hit hit) {
         agenda.at(now() + hit.away(), () -> {
             ended(now());
-            m.away = false;
             keepers.execute(() -> {
                 folder(m, hit.trouble().folder());
                 String jar = hit.trouble().jar();
