--- a/src/main/java/tinroad/Controller.java
+++ b/src/main/java/tinroad/Controller.java
@@ -40,8 +40,11 @@
         return Map.of();
     }
 
-    /** Begins with what an earlier life learned, faded by its age; called once, right after the start, or never. */
-    default void restore(Map<String, Known> known) { }
+    /**
+     * Begins with what an earlier life learned, faded by its age; called once, right after the start, or never. {@code cold}:
+     * what runs here was just started, and is slower than it was then.
+     */
+    default void restore(Map<String, Known> known, boolean cold) { }
 
     /** What the controller may do. Every action takes effect at the time of the event being handled. */
     interface Actions {
--- a/src/main/java/tinroad/Learned.java
+++ b/src/main/java/tinroad/Learned.java
@@ -74,10 +74,8 @@
             Controller.Known run = known.get("run." + i);
             Controller.Known calm = known.get("calm." + i);
             if (usable(run)) {
-                of[i].run = run.value() / speed;
-                of[i].runs = Math.min(MOST_WEIGHT, run.weight());
-                // Guards against a slowdown where only one is known, or the engine is cold: their ratio tells of it.
-                of[i].calm = usable(calm) && speed == 1 ? calm.value() : Math.max(of[i].calm, of[i].run);
+                // Guards against another day's slowness: no more is expected than without any memory.
+                of[i].run = Math.min(of[i].run, (usable(calm) ? Math.min(run.value(), calm.value()) : run.value()) / speed);
             }
         }
         Controller.Known back = known.get("returning");
--- a/src/main/java/tinroad/OverloadController.java
+++ b/src/main/java/tinroad/OverloadController.java
@@ -231,8 +231,8 @@
     }
 
     @Override
-    public void restore(Map<String, Known> known) {
-        learned.restore(known, set.cold() ? Math.max(0.01, set.rules().coldFrom()) : 1);
+    public void restore(Map<String, Known> known, boolean cold) {
+        learned.restore(known, cold ? Math.max(0.01, set.rules().coldFrom()) : 1);
     }
 
     // --- admission ---
--- a/src/main/java/tinroad/core/Gateway.java
+++ b/src/main/java/tinroad/core/Gateway.java
@@ -185,7 +185,7 @@
         return dot < 0 ? name : name.substring(0, dot + 1) + site.classNames().get(Integer.parseInt(name.substring(dot + 1)));
     }
 
-    private void restore() {
+    private void restore(boolean cold) {
         Map<String, Controller.Known> own = controller.learned();
         Map<String, Controller.Known> priors = new LinkedHashMap<>();
         own.forEach((name, known) -> priors.put(withClass(name), known));
@@ -194,7 +194,7 @@
         own.keySet().stream().filter(name -> recalled.containsKey(withClass(name)))
                 .forEach(name -> known.put(name, recalled.get(withClass(name)).known()));
         if (!known.isEmpty()) {
-            controller.restore(known);
+            controller.restore(known, cold);
             recalled.forEach((name, r) -> log.debug("remembered: {} = {}, of life {}, {} s old", name, r.known().value(),
                     r.life(), Math.round(r.age() / 1000)));
         }
@@ -349,7 +349,7 @@
             comeback.engine(clock.now(), fresh);
             tell(() -> {
                 controller.start(clock.now(), seed, site.settings());
-                restore();
+                restore(fresh);
             });
             // Guards against a notice to leave that came before the engine: the module has to know it too.
             if (draining) {
--- a/src/main/java/tinroad/lab/Lab.java
+++ b/src/main/java/tinroad/lab/Lab.java
@@ -454,6 +454,10 @@
     }
 
     private void refuse(StreamRelay relay, boolean refuses) {
+        if (relay == null) {
+            // A gateway that ended before the doors were opened: the start tells of it.
+            return;
+        }
         try {
             relay.refuse(refuses);
         } catch (InterruptedException e) {
