Reset a relay's far end that was still on its way when the reset came

Cause (RelayTest failed once in a full run, line 160: the far end read an orderly end): the kernel accepts before the relay hears that its connection is there; a reset between the two closed the near end only, and Pipe.connected then passed on an end.

--- a/src/main/java/tinroad/lab/relay/Pipe.java
+++ b/src/main/java/tinroad/lab/relay/Pipe.java
@@ -64,6 +64,11 @@
 
     /** The other end is there. */
     void connected(Channel channel) {
+        if (!near.isOpen()) {
+            // Reset while this end was on its way: it sees the reset, too, and no orderly end.
+            abort(channel);
+            return;
+        }
         far = channel;
         in.to = far;
         out.to = near;
