Say each thing once: JSON answers, the engine's figures, the reports' pace, names, class path

ControlCall wrote one scaffold three times; ModelEngine and ModelGateway repeated constants and a formula of EngineStand and RosterReporter; Gateway.restore named the values a second way and comesBack always went with remembers; three tests each cut the program's class path. Learned: a constructor again, and a comment that is true of what is left.

--- a/src/main/java/tinroad/Learned.java
+++ b/src/main/java/tinroad/Learned.java
@@ -7,8 +7,8 @@
 
 /** What the module has learned of its classes and callers: all that may outlive the process. Times in ms. */
 final class Learned {
-    /** What a remembered average weighs at most, in samples: the first ones of this life soon count more. */
-    private static final double MOST_WEIGHT = 4;
+    /** What the part of callers that come back weighs, whose samples are not counted. */
+    private static final double UNCOUNTED = 4;
     /** So many waits are remembered for each class. */
     private static final int WAITS = 4;
 
@@ -33,8 +33,7 @@
         /** A new wait displaces those that are seldom seen. */
         void newWait(double wait) {
             if (waits.size() < WAITS) {
-                waits.add(new Patience());
-                waits.get(waits.size() - 1).wait = wait;
+                waits.add(new Patience(wait));
                 return;
             }
             waits.forEach(p -> p.votes -= 1.0 / WAITS);
@@ -44,8 +43,12 @@
 
     /** A wait that fresh tries of a class come with, and how sure that is. */
     static final class Patience {
-        double wait;
+        final double wait;
         double votes = 1;
+
+        Patience(double wait) {
+            this.wait = wait;
+        }
     }
 
     final Of[] of;
@@ -64,7 +67,7 @@
             all.put("run." + i, new Controller.Known(of[i].run, of[i].runs));
             all.put("calm." + i, new Controller.Known(of[i].calm, of[i].calmRuns));
         }
-        all.put("returning", new Controller.Known(returning, MOST_WEIGHT));
+        all.put("returning", new Controller.Known(returning, UNCOUNTED));
         return all;
     }
 
--- a/src/main/java/tinroad/control/ControlCall.java
+++ b/src/main/java/tinroad/control/ControlCall.java
@@ -105,16 +105,16 @@
         };
     }
 
-    private FullHttpResponse figures() {
-        Figures figures = gateway.figures();
+    /** Writes the fields of a JSON object. */
+    private interface Fields {
+        void write(JsonGenerator json) throws IOException;
+    }
+
+    private static FullHttpResponse object(Fields fields) {
         ByteBuf body = Unpooled.buffer();
         try (JsonGenerator json = JSON.createGenerator((OutputStream) new ByteBufOutputStream(body))) {
             json.writeStartObject();
-            byClass(json, "success", figures, figures::served);
-            byClass(json, "busy", figures, figures::refused);
-            byClass(json, "failure", figures, figures::failed);
-            json.writeNumberField("backend_calls", figures.runs());
-            json.writeNumberField("inflight", gateway.inHand());
+            fields.write(json);
             json.writeEndObject();
         } catch (IOException e) {
             // Can't happen: the buffer is memory, and grows as needed.
@@ -123,12 +123,21 @@
         return response(HttpResponseStatus.OK, "application/json", body);
     }
 
+    private FullHttpResponse figures() {
+        Figures figures = gateway.figures();
+        return object(json -> {
+            byClass(json, "success", figures, figures::served);
+            byClass(json, "busy", figures, figures::refused);
+            byClass(json, "failure", figures, figures::failed);
+            json.writeNumberField("backend_calls", figures.runs());
+            json.writeNumberField("inflight", gateway.inHand());
+        });
+    }
+
     /** How the gateway comes back, and what it began with of earlier lives. */
     private FullHttpResponse recovery() {
         Comeback c = gateway.comeback();
-        ByteBuf body = Unpooled.buffer();
-        try (JsonGenerator json = JSON.createGenerator((OutputStream) new ByteBufOutputStream(body))) {
-            json.writeStartObject();
+        return object(json -> {
             json.writeStringField("phase", c.phase().name().toLowerCase(Locale.ROOT));
             json.writeNumberField("since_ms", Math.round(gateway.now() - c.since()));
             json.writeStringField("why", c.why());
@@ -146,19 +155,12 @@
                 json.writeEndObject();
             }
             json.writeEndArray();
-            json.writeEndObject();
-        } catch (IOException e) {
-            // Can't happen: the buffer is memory, and grows as needed.
-            throw new UncheckedIOException(e);
-        }
-        return response(HttpResponseStatus.OK, "application/json", body);
+        });
     }
 
     /** Who is held to be there, in which stay, since when and by whose word; itself first. */
     private FullHttpResponse members() {
-        ByteBuf body = Unpooled.buffer();
-        try (JsonGenerator json = JSON.createGenerator((OutputStream) new ByteBufOutputStream(body))) {
-            json.writeStartObject();
+        return object(json -> {
             json.writeBooleanField("cut", fleet.get().cut());
             json.writeNumberField("doubts", fleet.get().health());
             json.writeArrayFieldStart("members");
@@ -174,12 +176,7 @@
                 json.writeEndObject();
             }
             json.writeEndArray();
-            json.writeEndObject();
-        } catch (IOException e) {
-            // Can't happen: the buffer is memory, and grows as needed.
-            throw new UncheckedIOException(e);
-        }
-        return response(HttpResponseStatus.OK, "application/json", body);
+        });
     }
 
     /** JSON has no infinite number and none that is absent: null stands for both. */
--- a/src/main/java/tinroad/core/Gateway.java
+++ b/src/main/java/tinroad/core/Gateway.java
@@ -111,22 +111,13 @@
         for (String name : site.tenantNames()) {
             tenantIndex.put(name, tenantIndex.size());
         }
-        comesBack(false);
-    }
-
-    /**
-     * How this life begins; called before anything else, or not at all.
-     *
-     * @param distrusts what was remembered is not believed, and a seasoned engine is watched as one that was started
-     */
-    public void comesBack(boolean distrusts) {
-        double quickest = site.settings().classes().stream().mapToDouble(Controller.RequestClass::aim).min().orElse(1);
-        comeback = new Comeback(clock.now(), site.settings().cores(), USUAL_RUN * quickest, distrusts);
+        comeback = watch(false);
     }
 
     /** What lasted of earlier lives; called before the engine is there, or not at all. */
     public void remembers(Memory before) {
         memory = before;
+        comeback = watch(before.distrusts());
         double now = clock.now();
         before.ran().forEach((id, due) -> {
             if (due > now) {
@@ -138,6 +129,11 @@
         }
     }
 
+    private Comeback watch(boolean distrusts) {
+        double quickest = site.settings().classes().stream().mapToDouble(Controller.RequestClass::aim).min().orElse(1);
+        return new Comeback(clock.now(), site.settings().cores(), USUAL_RUN * quickest, distrusts);
+    }
+
     /** How it comes back. */
     public Comeback comeback() {
         return comeback;
@@ -186,12 +182,9 @@
     }
 
     private void restore(boolean cold) {
-        Map<String, Controller.Known> own = controller.learned();
-        Map<String, Controller.Known> priors = new LinkedHashMap<>();
-        own.forEach((name, known) -> priors.put(withClass(name), known));
-        recalled = memory.recall(priors, clock.now());
+        recalled = memory.recall(learned(), clock.now());
         Map<String, Controller.Known> known = new LinkedHashMap<>();
-        own.keySet().stream().filter(name -> recalled.containsKey(withClass(name)))
+        controller.learned().keySet().stream().filter(name -> recalled.containsKey(withClass(name)))
                 .forEach(name -> known.put(name, recalled.get(withClass(name)).known()));
         if (!known.isEmpty()) {
             controller.restore(known, cold);
--- a/src/main/java/tinroad/fleet/Membership.java
+++ b/src/main/java/tinroad/fleet/Membership.java
@@ -267,8 +267,8 @@
     }
 
     /**
-     * All that is held, with one other: a member, or now and then a seed or one that is held dead. So what a cut kept apart
-     * finds together again, and a fleet whose seeds are gone lives on without them.
+     * A part of what is held goes to one other, which answers with its own; and a word to one that nobody is with: a seed that is not
+     * known, or one that is held dead. So what a cut kept apart finds together again, and a fleet outlives its seeds.
      */
     private void sync() {
         List<Held> there = pick(1, "", true);
--- a/src/main/java/tinroad/lab/stand/EngineStand.java
+++ b/src/main/java/tinroad/lab/stand/EngineStand.java
@@ -33,8 +33,11 @@
     private static final int STORED = 4000;
     private static final int LONGEST_LINE = 64 * 1024;
     /** Share of its work that a run does before what lies behind the engine fails it. */
-    private static final double SICK_PART = 0.2;
+    public static final double SICK_PART = 0.2;
+    /** So long, in ms, an engine that is not cold has been up. */
+    public static final double UP_BEFORE = 3_600_000;
     private static final double MEMORY_KB = 60_000;
+    private static final double RUN_KB = 96;
 
     private record Running(Try t, double since, String result, boolean sick, int life) { }
 
@@ -79,7 +82,7 @@
     public void start(boolean cold) {
         Script.Fleet fleet = world.plan.script().fleet();
         cores = new Cores(world.plan.script().engine(), fleet.cores(), speed, world.now(), cold);
-        upSince = cold ? world.now() : world.now() - 3_600_000;
+        upSince = cold ? world.now() : world.now() - UP_BEFORE;
         fresh = cold;
         up = true;
         if (waiting != null) {
@@ -252,6 +255,11 @@
         cores.start(t.id, asked.work() * (sick ? SICK_PART : 1));
     }
 
+    /** The gauge of memory with so many runs. */
+    public static double memoryShare(int runs) {
+        return Math.min(1, RUN_KB * runs / MEMORY_KB);
+    }
+
     private static void no(ChannelHandlerContext ctx, String id) {
         tell(ctx, JSON.createObjectNode().put("type", "NO").put("state", "RUN").put("job", id).toString());
     }
@@ -259,7 +267,7 @@
     private void stats(ChannelHandlerContext ctx, String ref) {
         ObjectNode line = JSON.createObjectNode().put("type", "STATS").put("ref", ref);
         line.putArray("gauges").add(cores.use()).add((double) cores.present())
-                .add(Math.min(1, 96.0 * running.size() / MEMORY_KB)).add((double) world.connections(gateway));
+                .add(memoryShare(running.size())).add((double) world.connections(gateway));
         tell(ctx, line.toString());
     }
 
--- a/src/main/java/tinroad/model/MembersSweep.java
+++ b/src/main/java/tinroad/model/MembersSweep.java
@@ -1,8 +1,8 @@
 package tinroad.model;
 
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.List;
+import java.util.stream.IntStream;
 import tinroad.fleet.Status;
 import tinroad.fleet.Tuning;
 import tinroad.lab.truth.Paired;
@@ -46,13 +46,9 @@
             deaths.add(m.until(members - 1, Status.DEAD, MOST));
             m.pass(3000);
             m.countAnew();
-            for (int n = 0; n < Math.max(1, members / 10); n++) {
-                m.stop(n, true);
-            }
+            IntStream.range(0, Math.max(1, members / 10)).forEach(n -> m.stop(n, true));
             m.pass(STOP);
-            for (int n = 0; n < Math.max(1, members / 10); n++) {
-                m.stop(n, false);
-            }
+            IntStream.range(0, Math.max(1, members / 10)).forEach(n -> m.stop(n, false));
             m.pass(6000);
             stoppedDeaths += m.falseDeaths();
             m.cut((from, to) -> from % 2 != to % 2);
@@ -72,6 +68,6 @@
     }
 
     private static long worst(List<Double> values) {
-        return Math.round(Arrays.stream(values.stream().mapToDouble(x -> x).toArray()).max().orElse(0));
+        return Math.round(values.stream().mapToDouble(x -> x).max().orElse(0));
     }
 }
--- a/src/main/java/tinroad/model/ModelEngine.java
+++ b/src/main/java/tinroad/model/ModelEngine.java
@@ -11,16 +11,12 @@
 import tinroad.lab.plan.Asked;
 import tinroad.lab.script.Script;
 import tinroad.lab.stand.Cores;
+import tinroad.lab.stand.EngineStand;
 import tinroad.lab.truth.Ledger;
 import tinroad.lab.truth.Try;
 
 /** An engine of the model: the lab's cores behind a link that is there while both ends are. */
 final class ModelEngine implements Engine {
-    /** Share of its work that a run does before what lies behind the engine fails it. */
-    private static final double SICK_PART = 0.2;
-    private static final double MEMORY_KB = 60_000;
-    private static final double UP_BEFORE = 3_600_000;
-
     private record Running(Try t, double since, boolean sick, Listener listener) { }
 
     private final FleetModel model;
@@ -44,7 +40,7 @@
         Script script = model.plan().script();
         double speed = script.fleet().speeds().get(gateway % script.fleet().speeds().size());
         cores = new Cores(script.engine(), script.fleet().cores(), speed, model.now(), cold);
-        upSince = cold ? model.now() : model.now() - UP_BEFORE;
+        upSince = cold ? model.now() : model.now() - EngineStand.UP_BEFORE;
         fresh = cold;
         up = true;
         if (listener != null) {
@@ -156,7 +152,7 @@
         t.ranAt = model.now();
         model.ledger().count(Ledger.Count.RUNS, gateway, model.now());
         running.put(id, new Running(t, model.now(), sick, listener));
-        cores.start(id, asked.work() * (sick ? SICK_PART : 1));
+        cores.start(id, asked.work() * (sick ? EngineStand.SICK_PART : 1));
         return Progress.SENT;
     }
 
@@ -167,7 +163,7 @@
         }
         Listener to = listener;
         model.at(model.now() + 2 * FleetModel.WAY, () -> to.gauges(tag, new Gauges(cores.use(), cores.present(),
-                Math.min(1, 96.0 * running.size() / MEMORY_KB), model.plan().script().callers().proxies())));
+                EngineStand.memoryShare(running.size()), model.plan().script().callers().proxies())));
         return true;
     }
 }
--- a/src/main/java/tinroad/model/ModelGateway.java
+++ b/src/main/java/tinroad/model/ModelGateway.java
@@ -2,8 +2,10 @@
 
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import org.slf4j.helpers.NOPLogger;
+import tinroad.Controller.Known;
 import tinroad.OverloadController;
 import tinroad.config.Site;
 import tinroad.core.Gateway;
@@ -14,15 +16,13 @@
 import tinroad.lab.truth.Ledger;
 import tinroad.recovery.Pace;
 import tinroad.recovery.Remembrance;
+import tinroad.roster.RosterReporter;
 import tinroad.state.Reading;
 import tinroad.state.Recall;
 import tinroad.state.Snapshot;
 
 /** One gateway of the model, life after life: the program's own parts on the model's time. */
 final class ModelGateway {
-    /** The reports to the roster: period in ms, and its spread, as the program has them. */
-    private static final double REPORTS = 250;
-    private static final double SPREAD = 0.2;
     /** Of what lasts, in ms: as in lab/operator/state.conf. */
     private static final double SAVES = 500;
     private static final double OLDEST = 600_000;
@@ -83,7 +83,6 @@
             Recall.Decision d = Recall.decide(folder == null ? List.of() : List.of(new Recall.Candidate("state", Reading.of(folder))),
                     "g" + number, unix, OLDEST, life.number, life.number);
             remembrance = new Remembrance("g" + number, d, life.number + 1, OLDEST, HALF_LIFE);
-            gateway.comesBack(remembrance.distrusts());
             gateway.remembers(remembrance);
             save(mine);
         }
@@ -93,13 +92,14 @@
         });
         gateway.opened();
         engine.attach(gateway);
-        report(mine, new Pace("g" + number, seed, REPORTS, SPREAD));
+        report(mine, RosterReporter.pace("g" + number, seed));
     }
 
     private void save(Ledger.Life mine) {
         if (life == mine && gateway != null) {
-            if (!gateway.learned().isEmpty()) {
-                folder = remembrance.leaves(gateway.now(), gateway.learned(), gateway.ranIds(), gateway.evacuated());
+            Map<String, Known> values = gateway.learned();
+            if (!values.isEmpty()) {
+                folder = remembrance.leaves(gateway.now(), values, gateway.ranIds(), gateway.evacuated());
             }
             model.at(model.now() + SAVES, () -> save(mine));
         }
--- a/src/main/java/tinroad/node/Remembering.java
+++ b/src/main/java/tinroad/node/Remembering.java
@@ -57,11 +57,6 @@
         return remembrance == null ? Memory.NONE : remembrance;
     }
 
-    /** Whether there was something, and nothing of it is believed. */
-    boolean distrusts() {
-        return remembrance != null && remembrance.distrusts();
-    }
-
     /** Has what the gateway knows now saved; on the event loop, which does not wait for it. */
     void save(Gateway gateway) {
         Map<String, Known> values = gateway.learned();
--- a/src/main/java/tinroad/node/Server.java
+++ b/src/main/java/tinroad/node/Server.java
@@ -86,7 +86,6 @@
         this.fleetSettings = fleetSettings;
         fleet = fleetSettings.speaks() ? new Carrier(loop, fleetSettings.listen(), fleetSettings.keys(), clock::now) : null;
         gateway.onHealth(this::health);
-        gateway.comesBack(remembering != null && remembering.distrusts());
         if (remembering != null) {
             gateway.remembers(remembering.memory());
             after(saveEvery, this::save);
--- a/src/main/java/tinroad/recovery/Memory.java
+++ b/src/main/java/tinroad/recovery/Memory.java
@@ -32,6 +32,11 @@
     /** How the life began, for operators. */
     String begins();
 
+    /** Whether something was remembered and is not believed: then an engine that was up all the time is watched as one that was started. */
+    default boolean distrusts() {
+        return false;
+    }
+
     /** A gateway of which nothing lasts. */
     Memory NONE = new Memory() {
         @Override public Map<String, Recalled> recall(Map<String, Known> priors, double now) {
--- a/src/main/java/tinroad/recovery/Remembrance.java
+++ b/src/main/java/tinroad/recovery/Remembrance.java
@@ -43,7 +43,7 @@
         provenance = new Provenance(life);
     }
 
-    /** Whether there was something, and nothing of it is believed. */
+    @Override
     public boolean distrusts() {
         return begin == Recall.Begin.COLD;
     }
--- a/src/main/java/tinroad/roster/RosterReporter.java
+++ b/src/main/java/tinroad/roster/RosterReporter.java
@@ -34,12 +34,17 @@
 
     /** Reports {@code name} to {@code roster}. */
     public RosterReporter(EventLoop loop, InetSocketAddress roster, String name, long seed) {
-        pace = new Pace(name, seed, PERIOD_MS, SPREAD);
+        pace = pace(name, seed);
         this.loop = loop;
         this.roster = roster;
         this.name = name;
     }
 
+    /** The pace at which a gateway of this name and seed reports. */
+    public static Pace pace(String name, long seed) {
+        return new Pace(name, seed, PERIOD_MS, SPREAD);
+    }
+
     /** Opens the socket; nothing is reported before the first {@link #report}. */
     public void start() {
         channel = new Bootstrap().group(loop).channel(NioDatagramChannel.class)
--- a/src/test/java/tinroad/LayersTest.java
+++ b/src/test/java/tinroad/LayersTest.java
@@ -69,10 +69,10 @@
 
     @Test
     void theEdgesDoNotKnowEachOther() {
-        for (String edge : new String[] {"fastcgi", "engine", "upstream", "control", "roster", "drill"}) {
+        for (String edge : new String[] {"fastcgi", "engine", "upstream", "control", "roster", "drill", "gossip"}) {
             noClasses().that().resideInAPackage("tinroad." + edge + "..").should().dependOnClassesThat(
                     resideInAnyPackage("tinroad.fastcgi..", "tinroad.engine..", "tinroad.upstream..", "tinroad.control..",
-                            "tinroad.roster..", "tinroad.drill..").and(not(resideInAPackage("tinroad." + edge + ".."))))
+                            "tinroad.roster..", "tinroad.drill..", "tinroad.gossip..").and(not(resideInAPackage("tinroad." + edge + ".."))))
                     .allowEmptyShould(true).check(ALL);
         }
     }
--- a/src/test/java/tinroad/cli/ServeTest.java
+++ b/src/test/java/tinroad/cli/ServeTest.java
@@ -6,7 +6,6 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.BufferedReader;
-import java.io.File;
 import java.io.IOException;
 import java.io.InputStreamReader;
 import java.net.DatagramPacket;
@@ -19,17 +18,16 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import java.util.concurrent.atomic.AtomicReference;
-import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
+import tinroad.Program;
 import tinroad.operator.Mistakes;
 
 /** {@code serve} as a process of its own, and the signals that reach it. */
@@ -46,12 +44,9 @@
     }
 
     private static Process serve(List<String> by, Path file, Path shared, String... more) throws IOException {
-        // Without the tests' own settings of the log.
-        String path = Arrays.stream(System.getProperty("java.class.path").split(File.pathSeparator))
-                .filter(entry -> !entry.contains("test-classes")).collect(Collectors.joining(File.pathSeparator));
         List<String> command = new ArrayList<>(by);
         command.addAll(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-cp", path,
+                "-cp", Program.CLASS_PATH,
                 Main.class.getName(), "serve", "--config", file.toString()));
         command.addAll(List.of(more));
         ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
--- a/src/test/java/tinroad/lab/LabTest.java
+++ b/src/test/java/tinroad/lab/LabTest.java
@@ -3,17 +3,16 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.io.File;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.Arrays;
 import java.util.List;
 import java.util.stream.Collectors;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
+import tinroad.Program;
 import tinroad.lab.plan.Plan;
 import tinroad.lab.script.ScriptReader;
 import tinroad.lab.stand.World.Mutant;
@@ -24,17 +23,13 @@
 /** Real processes with faults between them: the rules only, no figure that hangs on the clock. */
 @Timeout(240)
 class LabTest {
-    /** Of the program, without the tests' own settings. */
-    private static final String PROGRAM = Arrays.stream(System.getProperty("java.class.path").split(File.pathSeparator))
-            .filter(entry -> !entry.contains("test-classes")).collect(Collectors.joining(File.pathSeparator));
-
     @TempDir
     private Path dir;
     private Ledger ledger;
 
     private Report play(String script, long seed, Mutant mutant) throws Exception {
         Path file = Files.writeString(dir.resolve("s.conf"), script);
-        try (Lab lab = new Lab(Plan.of(ScriptReader.read(file), seed), new Lab.Options(PROGRAM, dir.resolve("run"), null, null, mutant))) {
+        try (Lab lab = new Lab(Plan.of(ScriptReader.read(file), seed), new Lab.Options(Program.CLASS_PATH, dir.resolve("run"), null, null, mutant))) {
             Lab.Outcome outcome = lab.play();
             ledger = outcome.ledger();
             Report report = new Report(outcome);
@@ -159,8 +154,8 @@
     @Test
     void noGatewayOutlivesALabThatIsKilled() throws Exception {
         Path out = dir.resolve("killed");
-        Process lab = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp", PROGRAM,
-                "tinroad.cli.Main", "lab", "run", "first", "--jar", PROGRAM, "--out", out.toString()).redirectErrorStream(true).start();
+        Process lab = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp", Program.CLASS_PATH,
+                "tinroad.cli.Main", "lab", "run", "first", "--jar", Program.CLASS_PATH, "--out", out.toString()).redirectErrorStream(true).start();
         try {
             while (gateways(out) < 3) {
                 assertTrue(lab.isAlive(), () -> "the lab ended: " + said(lab));
--- a/src/test/java/tinroad/lab/RememberingTest.java
+++ b/src/test/java/tinroad/lab/RememberingTest.java
@@ -3,15 +3,13 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.io.File;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.Arrays;
 import java.util.List;
-import java.util.stream.Collectors;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
+import tinroad.Program;
 import tinroad.lab.plan.Plan;
 import tinroad.lab.script.ScriptReader;
 import tinroad.lab.stand.World.Mutant;
@@ -19,9 +17,6 @@
 /** Real processes whose state lasts, is lost, and is rolled back under them. */
 @Timeout(240)
 class RememberingTest {
-    private static final String PROGRAM = Arrays.stream(System.getProperty("java.class.path").split(File.pathSeparator))
-            .filter(entry -> !entry.contains("test-classes")).collect(Collectors.joining(File.pathSeparator));
-
     @TempDir
     private Path dir;
 
@@ -44,7 +39,7 @@
         Path operator = Files.writeString(dir.resolve("o.conf"), "state { folder = tmp/state, every = 100ms }\nfleet { listen = \"@HOST@:7001\","
                 + " seeds = [\"@FIRST@:7001\", \"@SECOND@:7001\"], zone = \"@ZONE@\", key-file = \"@KEYS@\" }\n");
         try (Lab lab = new Lab(Plan.of(ScriptReader.read(script), 1),
-                new Lab.Options(PROGRAM, dir.resolve("run"), operator, null, Mutant.NONE))) {
+                new Lab.Options(Program.CLASS_PATH, dir.resolve("run"), operator, null, Mutant.NONE))) {
             Report report = new Report(lab.play());
             assertEquals(List.of(), report.broken().stream().map(b -> b.rule() + ": " + b.what()).toList());
         }
@@ -71,7 +66,7 @@
                 """);
         Path operator = Files.writeString(dir.resolve("o.conf"), "state { folder = tmp/state, fence = fence, every = 100ms }");
         try (Lab lab = new Lab(Plan.of(ScriptReader.read(script), 1),
-                new Lab.Options(PROGRAM, dir.resolve("run"), operator, null, Mutant.NONE))) {
+                new Lab.Options(Program.CLASS_PATH, dir.resolve("run"), operator, null, Mutant.NONE))) {
             Report report = new Report(lab.play());
             assertEquals(List.of(), report.broken().stream().map(b -> b.rule() + ": " + b.what()).toList());
         }
