Run keyed requests once in their window; heed wait, retry mark, and send the level back

Cause: core.Gateway kept tries by class and read key only (Repeats.find, `c.semantics() == FREE ? in.key() : null`), and Params knew none of Req-Token, Req-Wait-Ms, Req-Retry; Responses sent no Srv-Load. So every try of a keyed class ran, the due time ignored what the caller told, and `say` only logged. Change: tokens in core.Repeats, bounded, held by the program itself should the module order a second run; due time from the caller's wait; marks and level passed on. A field given twice or out of its form fails its request alone.

--- a/src/main/java/tinroad/core/Gateway.java
+++ b/src/main/java/tinroad/core/Gateway.java
@@ -83,6 +83,8 @@
     private double drainedAt;
     private double leaveAt;
     private long timerTags;
+    /** The free value that goes out with answers and checks; NaN until the module has one to say. */
+    private double level = Double.NaN;
     private Gauges lastGauges = NO_GAUGES;
     private double gaugesAt = Double.NEGATIVE_INFINITY;
 
@@ -204,6 +206,11 @@
         healthListener = listener;
     }
 
+    /** The free value that every answer and check carries from now on; NaN for none. */
+    public double level() {
+        return level;
+    }
+
     /** What a health check is told. */
     public boolean healthy() {
         return healthy;
@@ -289,18 +296,30 @@
         RequestClass c = settings.classes().get(cls);
         // Guards against a caller's clock that runs ahead: an age is never negative, a due time never later.
         double age = Math.max(0, now - in.arrivedAt());
-        // Guards the module's averages against what was due before it was read: nobody waits for it.
-        if (!started || age >= c.deadline()) {
-            turnAway(cls, requester, Answer.refused(0, false));
+        boolean keyed = c.semantics() == Semantics.GUARDED;
+        // Without it nobody can tell whether it ran: no guess is made where the harm can't be undone.
+        if (keyed && in.token() == null) {
+            turnAway(cls, requester, Answer.invalid());
             return;
         }
-        Request request = new Request(in.id(), cls, in.kind(), now - age + c.deadline(),
-                c.semantics() == Semantics.FREE ? in.key() : null, requester, in.body());
+        boolean told = settings.passesDeadline() && !Double.isNaN(in.waitMs());
+        double due = now - age + (told ? Math.min(in.waitMs(), c.deadline()) : c.deadline());
+        Request request = new Request(in, cls, due, keyed, c.semantics() == Semantics.FREE, requester);
         request.repeats = repeats.find(request, now);
+        boolean mayHaveRun = keyed && request.repeats != null && request.repeats.ran();
+        if (Repeats.conflicts(request, request.repeats)) {
+            turnAway(cls, requester, Answer.invalid());
+            return;
+        }
+        // Guards the module's averages against what was due before it was read: nobody waits for it.
+        if (!started || now >= due || keyed && request.repeats == null && repeats.full()) {
+            turnAway(cls, requester, mayHaveRun ? Answer.failed(Progress.SENT) : Answer.refused(0, false));
+            return;
+        }
         requests.put(request.id, request);
         String repeated = request.repeats == null ? null : request.repeats.id;
-        tell(() -> controller.request(now, new Controller.Request(in.id(), cls, tenant, in.caller(), in.memoryKb(), 0,
-                age, in.rank(), 0, in.key(), repeated, false, c.semantics() != Semantics.FREE)));
+        tell(() -> controller.request(now, new Controller.Request(in.id(), cls, tenant, in.caller(), in.memoryKb(),
+                told ? due : 0, age, in.rank(), 0, in.key(), repeated, in.resent(), c.semantics() != Semantics.FREE)));
         request.ownBody();
         comeback.asked(!request.answered || request.progress != Progress.NOT_SENT || request.repeats != null);
     }
@@ -461,7 +480,8 @@
                 tell(() -> controller.ended(clock.now(), r.id, 0, Outcome.IGNORED));
             }
         }
-        boolean mayHaveRun = answer.kind() == Answer.Kind.REFUSED && r.progress != Progress.NOT_SENT;
+        boolean sent = r.progress != Progress.NOT_SENT || r.token != null && r.repeats != null && r.repeats.ran();
+        boolean mayHaveRun = answer.kind() == Answer.Kind.REFUSED && sent;
         Answer honest = mayHaveRun ? Answer.failed(r.progress) : answer;
         figures.answered(r.cls, honest.kind());
         r.requester.answer(honest);
@@ -551,8 +571,16 @@
     }
 
     private void send(Request r) {
+        RequestClass c = site.settings().classes().get(r.cls);
+        if (!repeats.mayRun(r, c.keyWindow(), c.deadline(), clock.now())) {
+            // Guards the rule of one run where the module does not: another try of it has run, or is about to.
+            finish(r, Answer.failed(Progress.NOT_SENT));
+            tell(() -> controller.ended(clock.now(), r.id, 0, Outcome.IGNORED));
+            return;
+        }
         r.progress = engine.run(r.id, r.kind, r.body);
         if (r.progress == Progress.NOT_SENT) {
+            repeats.unsent(r);
             unsent.add(r);
         } else {
             figures.handedOver();
@@ -599,7 +627,7 @@
         @Override public void keep(String id, double duration) {
             Request r = requests.get(id);
             if (r != null) {
-                repeats.keep(r, clock.now() + duration);
+                repeats.keep(r, clock.now() + duration, clock.now());
             }
         }
 
@@ -638,8 +666,8 @@
             log.info("module: {}", text);
         }
 
-        // The engine of this protocol stops no runs and calls nothing below, and no answer carries a free
-        // value. The settings say so, and the module then asks for none of these.
+        // The engine of this protocol stops no runs and calls nothing below. The settings say so, and the module then
+        // asks for none of these.
 
         @Override public void halt(String id) {
             unsupported("halt");
@@ -654,7 +682,7 @@
         }
 
         @Override public void say(double value) {
-            unsupported("say");
+            level = value;
         }
 
         private void unsupported(String action) {
--- a/src/main/java/tinroad/core/Request.java
+++ b/src/main/java/tinroad/core/Request.java
@@ -3,6 +3,9 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
 
 /** One request in hand: from its reading until it is answered and no run of it can end any more. */
 final class Request {
@@ -10,7 +13,11 @@
     final int cls;
     final String kind;
     final double due;
+    /** When it came to the machine, as it says itself. */
+    final double arrivedAt;
     final String key;
+    /** Names all tries of one request of a keyed class; null in any other class. */
+    final String token;
     final Requester requester;
     /** The bytes to run with, null once it is answered: until then the order may have to be repeated. */
     ByteBuf body;
@@ -23,15 +30,34 @@
     /** The kept request that this one repeats, or null, and since when it waits for its result. */
     Repeats.Kept repeats;
     double reusedAt;
+    private byte[] digest;
 
-    Request(String id, int cls, String kind, double due, String key, Requester requester, ByteBuf body) {
-        this.id = id;
+    Request(Inbound in, int cls, double due, boolean keyed, boolean read, Requester requester) {
+        id = in.id();
         this.cls = cls;
-        this.kind = kind;
+        kind = in.kind();
         this.due = due;
-        this.key = key;
+        arrivedAt = in.arrivedAt();
+        key = read ? in.key() : null;
+        token = keyed ? in.token() : null;
         this.requester = requester;
-        this.body = body;
+        body = in.body();
+    }
+
+    /** Tells whether two tries carry the same class and body; asked for while the body is there. */
+    byte[] digest() {
+        if (digest == null) {
+            try {
+                MessageDigest sha = MessageDigest.getInstance("SHA-256");
+                sha.update(kind.getBytes(StandardCharsets.UTF_8));
+                sha.update((byte) 0);
+                sha.update(body.nioBuffer());
+                digest = sha.digest();
+            } catch (NoSuchAlgorithmException e) {
+                throw new IllegalStateException("every Java platform has SHA-256", e);
+            }
+        }
+        return digest;
     }
 
     /** Copies the body where it has to outlive the buffer that it was read into. */
--- a/src/main/java/tinroad/fastcgi/FrontConnection.java
+++ b/src/main/java/tinroad/fastcgi/FrontConnection.java
@@ -171,7 +171,7 @@
         Params params = exchange.paramsWhole ? Params.read(exchange.params()) : null;
         if (params != null && params.healthCheck()) {
             carriesChecks = true;
-            write(exchange, Responses.health(ctx.alloc(), exchange.id, gateway.healthy()));
+            write(exchange, Responses.health(ctx.alloc(), exchange.id, gateway.healthy(), gateway.level()));
             return;
         }
         carriesRequests = true;
@@ -217,7 +217,7 @@
             return;
         }
         try {
-            write(exchange, Responses.answer(ctx.alloc(), exchange.id, answer));
+            write(exchange, Responses.answer(ctx.alloc(), exchange.id, answer, gateway.level()));
         } catch (RuntimeException | OutOfMemoryError e) {
             exceptionCaught(ctx, e);
         }
--- a/src/main/java/tinroad/fastcgi/Params.java
+++ b/src/main/java/tinroad/fastcgi/Params.java
@@ -11,16 +11,22 @@
     private static final int LONG_LENGTH = 0x80;
     private static final double MOST_KB = 2000;
     private static final int LONGEST_KEY = 128;
+    private static final int LONGEST_TOKEN = 64;
+    /** No caller waits for longer than a day, in ms; what says so is no wait. */
+    private static final double LONGEST_WAIT = 86_400_000;
 
-    private String method = "";
-    private String script = "";
-    private String id = "";
-    private String time = "";
-    private String from = "";
-    private String owner = "";
-    private String kb = "";
-    private String rank = "";
+    private String method;
+    private String script;
+    private String id;
+    private String time;
+    private String from;
+    private String owner;
+    private String kb;
+    private String rank;
     private String key;
+    private String token;
+    private String wait;
+    private String retry;
     private boolean whole;
 
     private Params() { }
@@ -34,7 +40,8 @@
     /** Reads the fields; what does not come out even is malformed as a whole. */
     static Params read(ByteBuf in) {
         Params params = new Params();
-        params.whole = pairs(in, params::set);
+        params.whole = true;
+        params.whole &= pairs(in, params::set);
         return params;
     }
 
@@ -64,30 +71,35 @@
 
     private void set(String name, ByteBuf in, int length) {
         switch (name) {
-            case "REQUEST_METHOD" -> method = text(in, length);
-            case "SCRIPT_NAME" -> script = text(in, length);
-            case "HTTP_REQ_ID" -> id = text(in, length);
-            case "HTTP_REQ_TIME" -> time = text(in, length);
-            case "HTTP_REQ_FROM" -> from = text(in, length);
-            case "HTTP_REQ_OWNER" -> owner = text(in, length);
-            case "HTTP_REQ_KB" -> kb = text(in, length);
-            case "HTTP_REQ_RANK" -> rank = text(in, length);
-            case "HTTP_REQ_KEY" -> key = text(in, length);
+            case "REQUEST_METHOD" -> method = once(method, in, length);
+            case "SCRIPT_NAME" -> script = once(script, in, length);
+            case "HTTP_REQ_ID" -> id = once(id, in, length);
+            case "HTTP_REQ_TIME" -> time = once(time, in, length);
+            case "HTTP_REQ_FROM" -> from = once(from, in, length);
+            case "HTTP_REQ_OWNER" -> owner = once(owner, in, length);
+            case "HTTP_REQ_KB" -> kb = once(kb, in, length);
+            case "HTTP_REQ_RANK" -> rank = once(rank, in, length);
+            case "HTTP_REQ_KEY" -> key = once(key, in, length);
+            case "HTTP_REQ_TOKEN" -> token = once(token, in, length);
+            case "HTTP_REQ_WAIT_MS" -> wait = once(wait, in, length);
+            case "HTTP_REQ_RETRY" -> retry = once(retry, in, length);
             default -> in.skipBytes(length);
         }
     }
 
-    private static String text(ByteBuf in, int length) {
+    /** Guards against a field given twice, of which nobody can tell which one its caller meant: malformed as a whole. */
+    private String once(String before, ByteBuf in, int length) {
+        whole &= before == null;
         return in.readCharSequence(length, StandardCharsets.UTF_8).toString();
     }
 
     boolean healthCheck() {
-        return whole && script.equals(HEALTH);
+        return whole && HEALTH.equals(script);
     }
 
     /** The request in the gateway's own terms, or null where a field is missing or out of its range. */
     Inbound inbound(ByteBuf body) {
-        if (!whole || !method.equals("POST") || !script.startsWith(PATH) || !isId(id)) {
+        if (!whole || !"POST".equals(method) || script == null || !script.startsWith(PATH) || !isId(id)) {
             return null;
         }
         try {
@@ -96,10 +108,12 @@
             double memoryKb = Double.parseDouble(decimal(kb));
             double order = Double.parseDouble(decimal(rank));
             String subject = key == null || key.isEmpty() ? null : key;
-            boolean inRange = memoryKb > 0 && memoryKb < MOST_KB && order < 1
-                    && (subject == null || subject.length() <= LONGEST_KEY);
-            return !inRange ? null : new Inbound(id, arrivedAt, script.substring(PATH.length()), owner, caller,
-                    memoryKb, order, subject, body);
+            double rest = wait == null ? Double.NaN : Double.parseDouble(decimal(wait));
+            boolean inRange = memoryKb > 0 && memoryKb < MOST_KB && order < 1 && !(rest > LONGEST_WAIT)
+                    && (subject == null || subject.length() <= LONGEST_KEY)
+                    && (token == null || isToken(token)) && (retry == null || retry.equals("0") || retry.equals("1"));
+            return !inRange ? null : new Inbound(id, arrivedAt, script.substring(PATH.length()), owner == null ? "" : owner, caller,
+                    memoryKb, order, subject, token, rest, "1".equals(retry), body);
         } catch (NumberFormatException e) {
             return null;
         }
@@ -107,15 +121,22 @@
 
     /** Guards against what Java reads as a number and the protocol does not: signs, NaN, exponents, other digits. */
     private static String digits(String text) {
-        return text.chars().allMatch(c -> c >= '0' && c <= '9') ? text : "";
+        return text != null && text.chars().allMatch(c -> c >= '0' && c <= '9') ? text : "";
     }
 
     private static String decimal(String text) {
-        return text.chars().allMatch(c -> c >= '0' && c <= '9' || c == '.') ? text : "";
+        return text != null && text.chars().allMatch(c -> c >= '0' && c <= '9' || c == '.') ? text : "";
     }
 
     private static boolean isId(String text) {
-        return text.length() == 16
-                && text.chars().allMatch(c -> c >= '0' && c <= '9' || c >= 'a' && c <= 'f' || c >= 'A' && c <= 'F');
+        return text != null && text.length() == 16 && isHex(text);
+    }
+
+    private static boolean isToken(String text) {
+        return !text.isEmpty() && text.length() <= LONGEST_TOKEN && isHex(text);
+    }
+
+    private static boolean isHex(String text) {
+        return text.chars().allMatch(c -> c >= '0' && c <= '9' || c >= 'a' && c <= 'f' || c >= 'A' && c <= 'F');
     }
 }
--- a/src/main/java/tinroad/fastcgi/Responses.java
+++ b/src/main/java/tinroad/fastcgi/Responses.java
@@ -10,11 +10,13 @@
 /** Writes the records that a gateway sends. */
 final class Responses {
     private static final int HEAD_ROOM = 256;
+    /** No level is told beyond this: callers read what is said as a plain number. */
+    private static final double MOST_LEVEL = 1e9;
 
     private Responses() { }
 
-    /** A whole answer: the CGI response, the end of its stream and the end of the request. */
-    static ByteBuf answer(ByteBufAllocator alloc, int id, Answer answer) {
+    /** A whole answer: the CGI response, the end of its stream and the end of the request. {@code level} NaN: none. */
+    static ByteBuf answer(ByteBufAllocator alloc, int id, Answer answer, double level) {
         ByteBuf out = alloc.buffer(HEAD_ROOM + answer.result().readableBytes());
         int record = begin(out, FastCgi.STDOUT, id);
         switch (answer.kind()) {
@@ -31,6 +33,7 @@
             case FAILED -> ascii(out, "Status: 500 Internal Server Error\r\n");
             case INVALID -> ascii(out, "Status: 400 Bad Request\r\n");
         }
+        level(out, level);
         ascii(out, "\r\n");
         // One record holds it: the engine's lines, and so their results, are bounded far below a record.
         out.writeBytes(answer.result(), answer.result().readerIndex(), answer.result().readableBytes());
@@ -38,13 +41,24 @@
     }
 
     /** The answer to a health check. */
-    static ByteBuf health(ByteBufAllocator alloc, int id, boolean good) {
+    static ByteBuf health(ByteBufAllocator alloc, int id, boolean good, double level) {
         ByteBuf out = alloc.buffer(HEAD_ROOM);
         int record = begin(out, FastCgi.STDOUT, id);
-        ascii(out, good ? "Status: 200 OK\r\n\r\n" : "Status: 503 Service Unavailable\r\n\r\n");
+        ascii(out, good ? "Status: 200 OK\r\n" : "Status: 503 Service Unavailable\r\n");
+        level(out, level);
+        ascii(out, "\r\n");
         return complete(out, record, id);
     }
 
+    /** The free value in thousandths, as a plain decimal number: no sign, no exponent. */
+    private static void level(ByteBuf out, double level) {
+        if (!Double.isNaN(level)) {
+            long thousandths = Math.round(Math.max(0, Math.min(level, MOST_LEVEL)) * 1000);
+            String fraction = Long.toString(1000 + thousandths % 1000).substring(1);
+            ascii(out, "Srv-Load: " + thousandths / 1000 + '.' + fraction + "\r\n");
+        }
+    }
+
     /** The end of a request with no response, for one that the protocol itself turns away. */
     static ByteBuf end(ByteBufAllocator alloc, int id, int protocolStatus) {
         ByteBuf out = alloc.buffer(2 * FastCgi.HEADER);
--- a/src/test/java/tinroad/core/Harness.java
+++ b/src/test/java/tinroad/core/Harness.java
@@ -16,6 +16,9 @@
 
 /** A gateway on a clock that the test moves, between an engine that records and a module that follows a script. */
 public final class Harness implements Clock, Engine {
+    /** How long a request of the keyed class may come again, in ms. */
+    public static final double WINDOW = 3000;
+
     private record Task(double at, long order, Runnable run) { }
 
     public final Script module = new Script();
@@ -31,7 +34,11 @@
 
     /** With one free class {@code read} (deadline 1 s), one single-shot class {@code order} (2 s), a tenant. */
     public Harness(double freshFor) {
-        gateway = new Gateway(site(freshFor), 7, this, (ms, task) -> tasks.add(new Task(now + ms, order++, task)),
+        this(site(freshFor, false));
+    }
+
+    private Harness(Site site) {
+        gateway = new Gateway(site, 7, this, (ms, task) -> tasks.add(new Task(now + ms, order++, task)),
                 this, actions -> {
                     module.act = actions;
                     return module;
@@ -45,19 +52,29 @@
         return harness;
     }
 
-    private static Site site(double freshFor) {
+    /** An attached gateway with a keyed class {@code pay} too (deadline 2 s, window {@link #WINDOW}), whose callers tell their wait. */
+    public static Harness keyed() {
+        Harness harness = new Harness(site(0, true));
+        harness.gateway.attached(false, 0);
+        return harness;
+    }
+
+    private static Site site(double freshFor, boolean keyed) {
         Controller.Settings settings = new Controller.Settings(
-                List.of(cls(1000, Controller.Semantics.FREE), cls(2000, Controller.Semantics.SINGLE_SHOT)),
+                keyed ? List.of(cls(1000, Controller.Semantics.FREE), cls(2000, Controller.Semantics.SINGLE_SHOT),
+                        cls(2000, Controller.Semantics.GUARDED))
+                        : List.of(cls(1000, Controller.Semantics.FREE), cls(2000, Controller.Semantics.SINGLE_SHOT)),
                 List.of(new Controller.Tenant(100, 1)), new Controller.Goal(1, 0, 0, 0),
                 new Controller.Rules(100, 1, 0, 2500, 8, 1500),
                 new Controller.Dependency(Controller.Below.NONE, 0, 0, 0), Controller.Say.NONE, Controller.Halt.NONE,
-                2, 1, 1, false, false, 15000, 9000, 4, 70, freshFor, 1000, true, false, 0.1, 5, false);
-        return new Site(settings, List.of("read", "order"), List.of("acme"),
+                2, 1, 1, false, keyed, 15000, 9000, 4, 70, freshFor, 1000, true, false, 0.1, 5, false);
+        return new Site(settings, keyed ? List.of("read", "order", "pay") : List.of("read", "order"), List.of("acme"),
                 List.of("core_use", "on_cores", "heap_share", "links"));
     }
 
     private static Controller.RequestClass cls(double deadline, Controller.Semantics semantics) {
-        return new Controller.RequestClass(deadline / 2, 0, deadline, 1, 0, semantics, 0, false, 0);
+        return new Controller.RequestClass(deadline / 2, 0, deadline, 1, 0, semantics,
+                semantics == Controller.Semantics.GUARDED ? WINDOW : 0, false, 0);
     }
 
     /** Moves the clock on, running what falls due on the way. */
