Keep the drain's grace when the notice is heard late; owe nothing at closes, evictions, slow reads

Ruled out: Req-Time (55 ms before the reading, all through), the module's check (it keeps its own figure to the ms), the way from the JVM's handler to the hook. At fault: node.Server.leave, which took its own reading for the time of the notice. Change: the notice counts from the older of the two last moments at which the process worked, and a tenth of the grace earlier; the last part of the time to leave is a tenth of it, 200 ms at least. A request whole only after the grace counts as arrived then (it may have begun in it). Found by forcing the crossings on real sockets, each seen to fail without its mend (FrontCrossingTest): the listener's end reset what the system had accepted and this process had not (FastCgiFront.leave); a connection evicted for room took an unread request along (makeRoom); 500 ms after the end of a connection its unsent last answers were thrown away (giveUpOverdue, dispensable). By review, no test: a report, a save, a pass, a timer's question that throws no longer ends its own repetition; a failed connect to the engine, for want of a descriptor, goes on on the event loop. Mends core's use of java.nio, which LayersTest refuses since.

--- a/src/main/java/tinroad/core/Gateway.java
+++ b/src/main/java/tinroad/core/Gateway.java
@@ -81,6 +81,9 @@
     /** The engine was started since the link before: it knows of no run that it was told of earlier. */
     private boolean anotherEngine;
     private double drainedAt;
+    /** The two last moments at which this process was seen to work, the older one for any thread to read. */
+    private double ticked = Double.POSITIVE_INFINITY;
+    private volatile double aliveAt = Double.POSITIVE_INFINITY;
     private double leaveAt;
     private long timerTags;
     /** The free value that goes out with answers and checks; NaN until the module has one to say. */
@@ -136,6 +139,15 @@
         return new Comeback(clock.now(), site.settings().cores(), USUAL_RUN * quickest, distrusts);
     }
 
+    /**
+     * A moment at which this process worked, and before which nothing can have been left unheard; any thread may ask. Guards
+     * against a notice that came while all of the process was set aside: it is seen later than it came. The older of two
+     * moments, as the latest may lie between the end of the stall and the notice.
+     */
+    public double aliveAt() {
+        return aliveAt;
+    }
+
     /** How it comes back. */
     public Comeback comeback() {
         return comeback;
@@ -318,12 +330,22 @@
         }
         requests.put(request.id, request);
         String repeated = request.repeats == null ? null : request.repeats.id;
+        double toldAge = whileDraining(now, age);
         tell(() -> controller.request(now, new Controller.Request(in.id(), cls, tenant, in.caller(), in.memoryKb(),
-                told ? due : 0, age, in.rank(), 0, in.key(), repeated, in.resent(), c.semantics() != Semantics.FREE)));
+                told ? due : 0, toldAge, in.rank(), 0, in.key(), repeated, in.resent(), c.semantics() != Semantics.FREE)));
         request.ownBody();
         comeback.asked(!request.answered || request.progress != Progress.NOT_SENT || request.repeats != null);
     }
 
+    /**
+     * The age that the module hears. Guards the drain rule against a request that began to arrive before the grace was over and
+     * was whole only after it: it reached the machine with its last byte, and that is no earlier than anything but its reading.
+     */
+    private double whileDraining(double now, double age) {
+        double over = now - drainedAt - site.settings().rules().drainGrace();
+        return draining && over > 0 ? Math.max(0, Math.min(age, over - 1)) : age;
+    }
+
     /** The answer to a request that never enters the table. */
     private void turnAway(int cls, Requester requester, Answer answer) {
         figures.answered(cls, answer.kind());
@@ -511,6 +533,8 @@
     private void guard() {
         timers.after(GUARD_PERIOD, this::guard);
         double now = clock.now();
+        aliveAt = ticked;
+        ticked = now;
         for (Request r : List.copyOf(requests.values())) {
             if (!r.answered && now >= r.due) {
                 finish(r, Answer.failed(r.progress));
@@ -553,9 +577,9 @@
     private void timerDue(String token) {
         String tag = Long.toString(++timerTags);
         waitingTimers.put(tag, token);
-        if (engine.askGauges(tag)) {
-            timers.after(GAUGES_WAIT, () -> fire(tag));
-        } else {
+        // First: guards the module's timers, each of which sets the next, against a question that can't be asked.
+        timers.after(GAUGES_WAIT, () -> fire(tag));
+        if (!engine.askGauges(tag)) {
             fire(tag);
         }
     }
--- a/src/main/java/tinroad/core/Repeats.java
+++ b/src/main/java/tinroad/core/Repeats.java
@@ -53,6 +53,7 @@
         final String id;
         /** The token that names it, and what its tries carry; null for reads. */
         private final String token;
+        private final String kind;
         private final byte[] digest;
         private double until;
         /** Keyed: a run was ordered, perhaps without effect; from then on none is ordered again within the window. */
@@ -64,10 +65,11 @@
         private byte[] result;
         private final List<Request> waiting = new ArrayList<>();
 
-        private Kept(String id, String token, byte[] digest) {
-            this.id = id;
-            this.token = token;
-            this.digest = digest;
+        private Kept(Request r) {
+            id = r.id;
+            kind = r.kind;
+            token = r.token;
+            digest = r.token == null ? null : r.digest();
         }
 
         boolean concluded() {
@@ -115,7 +117,8 @@
 
     /** Whether the token that it carries names another request: another class, or another body. */
     static boolean conflicts(Request r, Kept repeated) {
-        return r.token != null && repeated != null && !Arrays.equals(r.digest(), repeated.digest);
+        return r.token != null && repeated != null
+                && !(r.kind.equals(repeated.kind) && Arrays.equals(r.digest(), repeated.digest));
     }
 
     /** Whether there is no room for one more token. */
@@ -133,7 +136,7 @@
         }
         Kept kept = byKey.get(entry(r));
         if (kept == null || !kept.id.equals(r.id)) {
-            kept = new Kept(r.id, null, null);
+            kept = new Kept(r);
             byKey.put(entry(r), kept);
             r.kept = kept;
         }
@@ -146,7 +149,7 @@
             if (kept != null) {
                 remove(kept);
             }
-            r.kept = new Kept(r.id, r.token, r.digest());
+            r.kept = new Kept(r);
             byToken.put(r.token, r.kept);
         }
     }
--- a/src/main/java/tinroad/core/Request.java
+++ b/src/main/java/tinroad/core/Request.java
@@ -3,7 +3,6 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
-import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
 
@@ -44,15 +43,11 @@
         body = in.body();
     }
 
-    /** Tells whether two tries carry the same class and body; asked for while the body is there. */
+    /** Tells whether two tries carry the same body; asked for while the body is there. */
     byte[] digest() {
         if (digest == null) {
             try {
-                MessageDigest sha = MessageDigest.getInstance("SHA-256");
-                sha.update(kind.getBytes(StandardCharsets.UTF_8));
-                sha.update((byte) 0);
-                sha.update(body.nioBuffer());
-                digest = sha.digest();
+                digest = MessageDigest.getInstance("SHA-256").digest(ByteBufUtil.getBytes(body));
             } catch (NoSuchAlgorithmException e) {
                 throw new IllegalStateException("every Java platform has SHA-256", e);
             }
--- a/src/main/java/tinroad/engine/EngineLink.java
+++ b/src/main/java/tinroad/engine/EngineLink.java
@@ -136,7 +136,8 @@
                     }
                 }).connect(address).addListener((ChannelFuture done) -> {
                     if (!done.isSuccess()) {
-                        reconnect(attempt);
+                        // Where no descriptor is left there is no channel, and so no event loop: this is another thread.
+                        loop.execute(() -> reconnect(attempt));
                     }
                 });
     }
--- a/src/main/java/tinroad/fastcgi/FastCgiFront.java
+++ b/src/main/java/tinroad/fastcgi/FastCgiFront.java
@@ -13,6 +13,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
@@ -42,11 +43,15 @@
     static final double PATIENCE_MS = 1500;
     /** So long a connection that was given up on is kept, in ms, for its last answers to be read. */
     static final double LINGER_MS = 500;
+    /** The same where its last answers have not even left yet, because it reads slowly. */
+    static final double MOST_LINGER_MS = 10_000;
     /** Bounds what all requests that are not read whole yet take together, and that part of the memory allowed. */
     static final int MOST_PARTIAL = 16 * 1024 * 1024;
     private static final int PARTIAL_PART = 8;
     private static final int BACKLOG = 1024;
     private static final int ROOM_AFTER_FAILURE = 16;
+    /** So many connections are looked at for one that may go. */
+    private static final int MOST_LOOKS = 8;
     private static final int MOST_UNFLUSHED = 64;
     /** Answers that one connection may leave unread before no more is read from it: all that 32 requests get. */
     private static final WriteBufferWaterMark UNREAD_ANSWERS = new WriteBufferWaterMark(64 * 1024, 160 * 1024);
@@ -62,6 +67,8 @@
     private Channel listener;
     private double idleAfter;
     private boolean leaving;
+    /** Connections taken in so far. */
+    private long accepted;
     private boolean full;
     private boolean acceptFailed;
     private int partialBytes;
@@ -125,8 +132,13 @@
         double now = clock.now();
         double after = leaving ? 0 : idleAfter > 0 ? idleAfter : Double.MAX_VALUE;
         for (FrontConnection c : List.copyOf(connections)) {
-            c.giveUpOverdue(now);
-            c.closeIdle(now, after, leaving ? 0 : CHECKS_IDLE_MS);
+            try {
+                c.giveUpOverdue(now);
+                c.closeIdle(now, after, leaving ? 0 : CHECKS_IDLE_MS);
+            } catch (RuntimeException | OutOfMemoryError e) {
+                // Guards the passes to come, which an exception would end, and the other connections of this one.
+                c.failed(e);
+            }
         }
     }
 
@@ -135,6 +147,7 @@
      * one takes the place of the least useful one. Only where each has a request in hand is it turned away.
      */
     void opened(FrontConnection connection) {
+        accepted++;
         connections.add(connection);
         noteFull();
         if (connections.size() > most && !makeRoom(connection)) {
@@ -152,12 +165,23 @@
         noteFull();
     }
 
-    /** Closes the least useful connection other than this one; false where each has a request in hand. */
+    /**
+     * Closes the least useful connection other than this one; false where each has a request in hand. Guards against a
+     * request that waits unread in the socket of the one that is to go: it is read first, and then another one goes.
+     */
     private boolean makeRoom(FrontConnection keep) {
-        Optional<FrontConnection> least =
-                connections.stream().filter(c -> c != keep && c.dispensable()).min(FrontConnection.BY_USE);
-        least.ifPresent(FrontConnection::refuse);
-        return least.isPresent();
+        for (int i = 0; i < MOST_LOOKS; i++) {
+            Optional<FrontConnection> least =
+                    connections.stream().filter(c -> c != keep && c.dispensable()).min(FrontConnection.BY_USE);
+            if (least.isEmpty()) {
+                return false;
+            }
+            if (least.get().nothingToRead() && least.get().dispensable()) {
+                least.get().refuse();
+                return true;
+            }
+        }
+        return false;
     }
 
     /**
@@ -218,10 +242,25 @@
     public void leave() {
         leaving = true;
         if (listener != null) {
+            acceptWaiting();
             listener.close();
         }
     }
 
+    /**
+     * Guards callers whose connection the system has accepted and this process has not yet: the end of the listener would
+     * reset them, with the requests that they wrote meanwhile.
+     */
+    private void acceptWaiting() {
+        if (listener.unsafe() instanceof AbstractNioChannel.NioUnsafe waiting) {
+            long before;
+            do {
+                before = accepted;
+                waiting.read();
+            } while (accepted > before);
+        }
+    }
+
     @Override
     public int connections() {
         return connections.size();
--- a/src/main/java/tinroad/fastcgi/FrontConnection.java
+++ b/src/main/java/tinroad/fastcgi/FrontConnection.java
@@ -256,6 +256,13 @@
         }
     }
 
+    /** Reads what the socket holds; false where that was a record or more. */
+    boolean nothingToRead() {
+        int before = records;
+        readNow();
+        return records == before;
+    }
+
     // --- the connection's own life ---
 
     private void touch() {
@@ -265,8 +272,12 @@
 
     /** No open request, no partial record, no answer that is still to be sent. */
     private boolean empty() {
+        return open.isEmpty() && !decoder.midRecord() && allSent();
+    }
+
+    private boolean allSent() {
         ChannelOutboundBuffer unsent = ctx.channel().unsafe().outboundBuffer();
-        return open.isEmpty() && !decoder.midRecord() && (unsent == null || unsent.isEmpty());
+        return unsent == null || unsent.isEmpty();
     }
 
     /**
@@ -279,9 +290,7 @@
         if (!empty() || now - lastUsed < limit) {
             candidate = false;
         } else if (candidate) {
-            int before = records;
-            readNow();
-            if (records == before && empty()) {
+            if (nothingToRead() && empty()) {
                 ctx.close();
             }
         } else {
@@ -294,7 +303,8 @@
      * owed an end. The pass before this one already found it so: what arrived during a stall was read meanwhile.
      */
     void giveUpOverdue(double now) {
-        if (lingering && now - lingersSince > FastCgiFront.LINGER_MS) {
+        double lingers = lingering ? now - lingersSince : 0;
+        if (lingers > FastCgiFront.LINGER_MS && (allSent() || lingers > FastCgiFront.MOST_LINGER_MS)) {
             ctx.close();
         } else if (givenUp || lingering) {
             ctx.read();
@@ -324,7 +334,7 @@
 
     /** Whether closing it now costs no request: what is partial on a new connection has failed, and is not lost. */
     boolean dispensable() {
-        return lingering || empty() || !carriesRequests && open.values().stream().noneMatch(e -> e.handed);
+        return lingering && allSent() || empty() || !carriesRequests && open.values().stream().noneMatch(e -> e.handed);
     }
 
     /**
@@ -429,7 +439,11 @@
     /** Exceptions stop here: they cost this connection and nothing else. */
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        failed(cause);
+    }
+
+    void failed(Throwable cause) {
         LOG.debug("connection failed", cause);
-        context.close();
+        ctx.close();
     }
 }
--- a/src/main/java/tinroad/node/Server.java
+++ b/src/main/java/tinroad/node/Server.java
@@ -29,8 +29,12 @@
 
 /** The parts of one gateway put together on one event loop, from its start to its leave. */
 public final class Server implements AutoCloseable {
-    /** The last part of the time to leave, in ms: for the last answers to be taken and the process to end. */
+    /** The last part of the time to leave, in ms at least: for the last answers to be taken and the process to end. */
     private static final double EXIT_MARGIN = 200;
+    /** The same as a part of that time. */
+    private static final double EXIT_PART = 0.1;
+    /** Part of the grace for which a notice may have been on its way from the system to the thread that hears it. */
+    static final double UNHEARD_PART = 0.1;
     /** So long before that no new connection is taken, and empty ones are closed. */
     private static final double CLOSING = 250;
     private static final long POLL_MS = 10;
@@ -93,8 +97,9 @@
     }
 
     private void save() {
-        remembering.save(gateway);
+        // First: guards the saves to come against one that fails.
         after(saveEvery, this::save);
+        remembering.save(gateway);
     }
 
     private void health(boolean good) {
@@ -192,7 +197,7 @@
      * that was replaced leaves at once, and quietly: the gateway itself stays.
      */
     public void leave() {
-        double noticedAt = clock.now();
+        double noticedAt = Math.min(clock.now(), gateway.aliveAt());
         if (begun.compareAndSet(Begun.NEITHER, Begun.LEAVING)) {
             // Guards against a wait for the rehearsal, or for the engine: nobody has asked for anything yet.
             LOG.info("told to leave before it listened");
@@ -219,8 +224,9 @@
     }
 
     private void drain(double noticedAt) {
-        double leaveAt = noticedAt + Math.max(0, config.stopMs() - EXIT_MARGIN);
-        gateway.drain(noticedAt, leaveAt);
+        double leaveAt = noticedAt + Math.max(0, config.stopMs() - Math.max(EXIT_MARGIN, EXIT_PART * config.stopMs()));
+        // Guards the grace against a notice that was heard late, as where the process gets little of a core.
+        gateway.drain(noticedAt - UNHEARD_PART * config.site().settings().rules().drainGrace(), leaveAt);
         if (fleet != null) {
             fleet.leave();
         }
--- a/src/main/java/tinroad/roster/RosterReporter.java
+++ b/src/main/java/tinroad/roster/RosterReporter.java
@@ -63,8 +63,9 @@
 
     private void again() {
         loop.schedule(() -> {
-            send();
+            // First: guards the reports to come against one that fails.
             again();
+            send();
         }, (long) (pace.next() * 1e6), TimeUnit.NANOSECONDS);
     }
 
@@ -90,7 +91,7 @@
 
     private void send() {
         // Guards against a report before the socket is open: it would be lost until the next period.
-        if (reporting && !silent && channel.isActive()) {
+        if (reporting && !silent && channel != null && channel.isActive()) {
             String report = "HERE " + name + (on ? " on" : " off");
             channel.writeAndFlush(new DatagramPacket(ByteBufUtil.writeUtf8(channel.alloc(), report), roster));
         }
--- a/src/test/java/tinroad/core/GatewayTest.java
+++ b/src/test/java/tinroad/core/GatewayTest.java
@@ -337,6 +337,34 @@
         assertFalse(h.gateway.healthy());
     }
 
+    @Test
+    void whatBeganToArriveInTheGraceAndIsWholeAfterItCountsAsArrivedAfterIt() {
+        double noticedAt = h.now;
+        h.gateway.drain(noticedAt, noticedAt + 5000);
+        h.pass(2490);
+        ask(h, ID, "order", h.now - 300);
+        assertEquals(300, h.module.last.age());
+        h.pass(110);
+        ask(h, OTHER, "order", h.now - 300);
+        assertTrue(h.now - h.module.last.age() > noticedAt + 2500, "arrived " + (h.now - h.module.last.age() - noticedAt));
+        h.pass(1699);
+        assertEquals(1, answers.got.size(), "the due time still counts from what the request said");
+        h.pass(30);
+        assertEquals(2, answers.got.size());
+    }
+
+    @Test
+    void aProcessThatWasSetAsideKnowsAMomentBeforeIt() {
+        h.pass(200);
+        double before = h.now;
+        h.now += 5000;
+        h.pass(Gateway.GUARD_PERIOD / 2);
+        assertTrue(h.gateway.aliveAt() <= before, "a notice may have come during the stall");
+        assertTrue(h.gateway.aliveAt() >= before - 2 * Gateway.GUARD_PERIOD);
+        h.pass(100);
+        assertTrue(h.gateway.aliveAt() >= h.now - 2 * Gateway.GUARD_PERIOD - 1);
+    }
+
     @Test
     void aNoticeThatComesBeforeTheEngineIsToldToTheModuleToo() {
         Harness early = new Harness(0);
