--- a/src/main/java/tinroad/cli/GatewayCommand.java
+++ b/src/main/java/tinroad/cli/GatewayCommand.java
@@ -29,7 +29,9 @@
         } catch (OperatorException e) {
             e.faults().forEach(fault -> err.println("tinroad: " + fault));
             return WRONG;
-        } catch (ConfigException | IOException e) {
+        } catch (ConfigException e) {
+            e.getMessage().lines().forEach(fault -> err.println("tinroad: " + fault));
+        } catch (IOException e) {
             err.println("tinroad: " + e.getMessage());
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
--- a/src/main/java/tinroad/cli/Serve.java
+++ b/src/main/java/tinroad/cli/Serve.java
@@ -76,7 +76,7 @@
         try {
             server.reload(read());
         } catch (ConfigException e) {
-            LOG.warn("configuration kept: {}", e.getMessage());
+            e.getMessage().lines().forEach(fault -> LOG.warn("configuration kept: {}", fault));
         }
         try {
             Operator operator = readOperator();
--- a/src/main/java/tinroad/config/ConfigException.java
+++ b/src/main/java/tinroad/config/ConfigException.java
@@ -1,10 +1,10 @@
 package tinroad.config;
 
-/** A configuration that can't be used; the message is the one line that the operator sees. */
+/** A configuration that can't be used; the message is what the operator sees, a line for each fault. */
 public final class ConfigException extends Exception {
     private static final long serialVersionUID = 1L;
 
-    /** With the line to print. */
+    /** With the lines to print. */
     public ConfigException(String message) {
         super(message);
     }
--- a/src/main/java/tinroad/config/GatewayConfig.java
+++ b/src/main/java/tinroad/config/GatewayConfig.java
@@ -13,6 +13,9 @@
 import java.nio.file.Files;
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.Collectors;
 
 /**
  * What one gateway is told at its start, read and checked once.
@@ -72,6 +75,7 @@
         private double sockets = DEFAULT_SOCKETS;
         private double memoryMb = DEFAULT_MEMORY_MB;
         private Site site;
+        private final List<String> faults = new ArrayList<>();
 
         Fields(JsonParser in) {
             this.in = in;
@@ -85,8 +89,12 @@
             if (site == null || site.classNames().isEmpty()) {
                 throw new ConfigException("config: settings are missing or name no classes");
             }
-            return new GatewayConfig(name, address("listen", listen), control.isEmpty() ? null : address("control", control),
+            GatewayConfig config = new GatewayConfig(name, address("listen", listen), control.isEmpty() ? null : address("control", control),
                     address("engine", engine), address("roster", roster), seedValue(), stopMs, (int) sockets, memoryMb, site);
+            if (!faults.isEmpty()) {
+                throw new ConfigException(faults.stream().map(fault -> "config: settings: " + fault).collect(Collectors.joining("\n")));
+            }
+            return config;
         }
 
         private void field(String field) throws IOException {
@@ -99,7 +107,7 @@
                 case "seed" -> seed = text(in);
                 case "stop_ms" -> stopMs = number(in, DEFAULT_STOP_MS);
                 case "limits" -> each(in, this::limit);
-                case "settings" -> site = SiteReader.read(in);
+                case "settings" -> site = SiteReader.read(in, faults);
                 default -> { }
             }
         }
--- a/src/main/java/tinroad/config/SiteReader.java
+++ b/src/main/java/tinroad/config/SiteReader.java
@@ -28,6 +28,8 @@
     private final List<Controller.Tenant> tenants = new ArrayList<>();
     private final List<String> tenantNames = new ArrayList<>();
     private final List<String> gaugeNames = new ArrayList<>();
+    /** Words that offer what this program doesn't know, as lines for the operators. */
+    private final List<String> unknown = new ArrayList<>();
     private Controller.Goal goal = new Controller.Goal(0, 0, 0, 0);
     private Controller.Rules rules = new Controller.Rules(0, 1, 0, 0, 1, 0);
     private Below below = Below.NONE;
@@ -62,6 +64,22 @@
         return new SiteReader(in).read();
     }
 
+    /** The same, and what of it can't be meant, a line each. */
+    static Site read(JsonParser in, List<String> faults) throws IOException {
+        SiteReader reader = new SiteReader(in);
+        Site site = reader.read();
+        faults.addAll(SettingsCheck.faults(site, reader.unknown));
+        return site;
+    }
+
+    /** What {@code none} stands for; any other word is one that this program doesn't know. */
+    private <T> T known(String name, T none) throws IOException {
+        if (!text(in).equals("none")) {
+            unknown.add(name + " is not known: '" + text(in) + "'");
+        }
+        return none;
+    }
+
     private Site read() throws IOException {
         each(in, this::setting);
         List<Controller.RequestClass> requestClasses = new ArrayList<>();
@@ -101,18 +119,18 @@
             case "below" -> below = switch (text(in)) {
                 case "common" -> Below.COMMON;
                 case "next_hop" -> Below.NEXT_HOP;
-                default -> Below.NONE;
+                default -> known(name, Below.NONE);
             };
             case "say" -> say = switch (text(in)) {
                 case "min_rank" -> Say.MIN_RANK;
                 case "tokens" -> Say.TOKENS;
                 case "bias" -> Say.BIAS;
-                default -> Say.NONE;
+                default -> known(name, Say.NONE);
             };
             case "halt" -> halt = switch (text(in)) {
                 case "drop" -> Halt.DROP;
                 case "pause" -> Halt.PAUSE;
-                default -> Halt.NONE;
+                default -> known(name, Halt.NONE);
             };
             case "meters" -> items(in, i -> gaugeNames.add(text(in)));
             case "class_calls" -> items(in, i -> classCalls.add(flag(in)));
@@ -156,7 +174,11 @@
                 case "semantics" -> c.semantics = switch (text(in)) {
                     case "free" -> Semantics.FREE;
                     case "guarded" -> Semantics.GUARDED;
-                    default -> Semantics.SINGLE_SHOT;
+                    case "single_shot" -> Semantics.SINGLE_SHOT;
+                    default -> {
+                        unknown.add("class " + c.name + ": semantics is none of free, guarded, single_shot: '" + text(in) + "'");
+                        yield Semantics.SINGLE_SHOT;
+                    }
                 };
                 default -> { }
             }
--- a/src/main/java/tinroad/core/Gateway.java
+++ b/src/main/java/tinroad/core/Gateway.java
@@ -35,7 +35,7 @@
     static final double GUARD_PERIOD = 25;
     /** Two readings of the engine's start that lie this near, in ms, are of one start. */
     static final double SAME_START = 1000;
-    /** A time of arrival further off than this, in ms, either way, is no time of arrival. */
+    /** A time of arrival further off than this, in ms, or than any class waits, either way, is no time of arrival. */
     static final double FAR_OFF = 60_000;
     /** Part of its class's aim that a run is expected to take, by what is known before any has ended. */
     private static final double USUAL_RUN = 0.25;
@@ -63,6 +63,7 @@
     private final List<Front> fronts = new ArrayList<>();
     private HealthListener healthListener = good -> { };
     private final Figures figures;
+    private final double farOff;
     private Comeback comeback;
     private Memory memory = Memory.NONE;
     private Map<String, Memory.Recalled> recalled = Map.of();
@@ -110,6 +111,7 @@
         this.controller = module.apply(new Acts());
         this.repeats = new Repeats(site.settings().freshFor());
         this.figures = new Figures(site.classNames());
+        farOff = site.settings().classes().stream().mapToDouble(Controller.RequestClass::deadline).reduce(FAR_OFF, Math::max);
         for (String name : site.classNames()) {
             classIndex.put(name, classIndex.size());
         }
@@ -300,7 +302,7 @@
             requester.answer(Answer.invalid());
             return;
         }
-        if (tenant == null || Math.abs(now - in.arrivedAt()) > FAR_OFF
+        if (tenant == null || Math.abs(now - in.arrivedAt()) > farOff
                 || requests.containsKey(in.id()) || ran.containsKey(in.id())) {
             turnAway(cls, requester, Answer.invalid());
             return;
--- a/src/main/java/tinroad/node/Rehearsal.java
+++ b/src/main/java/tinroad/node/Rehearsal.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import org.slf4j.helpers.NOPLogger;
+import tinroad.Controller;
 import tinroad.OverloadController;
 import tinroad.config.Site;
 import tinroad.control.ControlServer;
@@ -134,6 +135,10 @@
         fields.put("HTTP_REQ_OWNER", tenants.isEmpty() ? "" : tenants.get(asked % tenants.size()));
         fields.put("HTTP_REQ_KB", "24.5");
         fields.put("HTTP_REQ_RANK", "0." + asked % 10);
+        int cls = (asked - 1) % site.classNames().size();
+        if (site.settings().classes().get(cls).semantics() == Controller.Semantics.GUARDED) {
+            fields.put("HTTP_REQ_TOKEN", String.format("%032x", asked));
+        }
         ByteBuf pairs = Unpooled.buffer();
         fields.forEach((name, value) -> {
             pairs.writeByte(name.length()).writeByte(value.length());
--- a/src/test/java/tinroad/config/GatewayConfigTest.java
+++ b/src/test/java/tinroad/config/GatewayConfigTest.java
@@ -1,6 +1,7 @@
 package tinroad.config;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.io.IOException;
 import java.nio.file.Files;
@@ -52,4 +53,23 @@
         assertEquals("15000.0 9738.0 4.0 1000.0 true 0.1 5.0", s.idle() + " " + s.memoryKb() + " " + s.runFactor()
                 + " " + s.maxStayAway() + " " + s.passesStayAway() + " " + s.overShareWorth() + " " + s.step());
     }
+
+    @Test
+    void whatNoSiteCanMeanIsToldALineForEachFault(@TempDir Path dir) throws IOException {
+        String bad = TEXT.replace("\"deadline\":3700.0", "\"deadline\":0").replace("\"late_share\":0.2", "\"late_share\":1.5")
+                .replace("\"single_shot\"", "\"sometimes\"").replace("\"say\":\"none\"", "\"say\":\"colour\"")
+                .replace("\"name\":\"order\"", "\"name\":\"read\"").replace("\"share\":0.5", "\"share\":-1")
+                .replace("\"fall_multiple\":8.0", "\"fall_multiple\":0.5").replace("\"cores\":6", "\"cores\":0");
+        Path file = Files.writeString(dir.resolve("c.json"), bad);
+        String told = assertThrows(ConfigException.class, () -> GatewayConfig.read(file)).getMessage();
+        assertEquals("""
+                config: settings: class read: semantics is none of free, guarded, single_shot: 'sometimes'
+                config: settings: say is not known: 'colour'
+                config: settings: classes[1]: the name read is taken
+                config: settings: class read: deadline has to be above 0, not 0
+                config: settings: class read: late_share has to be from 0 to 1, not 1.5
+                config: settings: org acme: share has to be from 0 to 1, not -1
+                config: settings: rules: fall_multiple has to be 1 at least, not 0.5
+                config: settings: family_info: cores has to be 1 at least, not 0""", told);
+    }
 }
--- a/src/test/java/tinroad/core/KeyedTest.java
+++ b/src/test/java/tinroad/core/KeyedTest.java
@@ -7,11 +7,14 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
 import java.util.stream.IntStream;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
+import net.jqwik.api.lifecycle.BeforeTry;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import tinroad.Controller.Request;
 
@@ -20,11 +23,14 @@
     private static final String TOKEN = "5c0f6e1a2b3d4c59a8b7c6d5e4f30211";
     private static final double LATER = Harness.WINDOW + Repeats.MARGIN + 1;
 
-    private final Harness h = Harness.keyed();
+    private Harness h;
     private final Harness.Answers first = new Harness.Answers();
     private final Harness.Answers second = new Harness.Answers();
 
-    KeyedTest() {
+    @BeforeEach
+    @BeforeTry
+    void start() {
+        h = Harness.keyed();
         h.module.onRequest = this::runOnceAsTheModuleDoes;
     }
 
@@ -263,7 +269,7 @@
     void howeverTriesAndEndsMeetEachTokenRunsOnceInItsWindow(@ForAll long seed) {
         Random random = new Random(seed);
         double[] ranAt = {-1, -1, -1};
-        List<Integer> running = new java.util.ArrayList<>();
+        List<Integer> running = new ArrayList<>();
         for (int n = 1; n < 120; n++) {
             h.pass(random.nextInt(200));
             if (random.nextInt(3) == 0 && !running.isEmpty()) {
