--- a/src/main/java/tinroad/cli/Check.java
+++ b/src/main/java/tinroad/cli/Check.java
@@ -31,6 +31,7 @@
                 throw new IOException("can't listen on " + config.listen() + ": another process does");
             }
             try (Server server = new Server(config, null, StateSettings.NONE, FleetSettings.NONE)) {
+                server.rehearse();
                 server.start();
                 server.leave();
             }
--- a/src/main/java/tinroad/core/Gateway.java
+++ b/src/main/java/tinroad/core/Gateway.java
@@ -604,7 +604,16 @@
             tell(() -> controller.ended(clock.now(), r.id, 0, Outcome.IGNORED));
             return;
         }
-        r.progress = engine.run(r.id, r.kind, r.body);
+        try {
+            r.progress = engine.run(r.id, r.kind, r.body);
+        } catch (RuntimeException | OutOfMemoryError e) {
+            // Guards the request, and its place in the module, against an order that can't even be written: nothing has left.
+            log.error("order not written: {}", e.toString());
+            repeats.unsent(r);
+            finish(r, Answer.failed(Progress.NOT_SENT));
+            tell(() -> controller.ended(clock.now(), r.id, 0, Outcome.IGNORED));
+            return;
+        }
         if (r.progress == Progress.NOT_SENT) {
             repeats.unsent(r);
             unsent.add(r);
--- a/src/main/java/tinroad/engine/EngineLink.java
+++ b/src/main/java/tinroad/engine/EngineLink.java
@@ -196,6 +196,9 @@
             // Can't happen: the buffer is memory, and grows as needed.
             line.release();
             throw new UncheckedIOException(e);
+        } catch (RuntimeException | OutOfMemoryError e) {
+            line.release();
+            throw e;
         }
         to.writeAndFlush(line, to.voidPromise());
     }
--- a/src/test/java/tinroad/core/GatewayTest.java
+++ b/src/test/java/tinroad/core/GatewayTest.java
@@ -337,6 +337,18 @@
         assertFalse(h.gateway.healthy());
     }
 
+    @Test
+    void anOrderThatCanNotBeWrittenFailsAloneAndItsPlaceIsGivenBack() {
+        h.module.onRequest = r -> h.module.act.run(r.id());
+        h.outOfMemory = true;
+        ask("order");
+        assertEquals(List.of("FAILED NOT_SENT"), answers.got);
+        assertEquals(List.of("ended " + ID + " IGNORED"), h.module.heard);
+        ask(h, OTHER, "order", h.now);
+        done(h, OTHER, "fine");
+        assertEquals("SERVED RAN fine", answers.got.get(1));
+    }
+
     @Test
     void whatBeganToArriveInTheGraceAndIsWholeAfterItCountsAsArrivedAfterIt() {
         double noticedAt = h.now;
--- a/src/test/java/tinroad/core/Harness.java
+++ b/src/test/java/tinroad/core/Harness.java
@@ -26,6 +26,8 @@
     public final List<String> runs = new ArrayList<>();
     public final List<String> gaugesAsked = new ArrayList<>();
     public boolean linkUp = true;
+    /** The next order can't be written: no memory is left for it. */
+    public boolean outOfMemory;
     public double now = 1_000_000;
     public final Gateway gateway;
     private final PriorityQueue<Task> tasks =
@@ -93,6 +95,10 @@
     }
 
     @Override public Progress run(String id, String kind, ByteBuf body) {
+        if (outOfMemory) {
+            outOfMemory = false;
+            throw new OutOfMemoryError("direct memory");
+        }
         if (!linkUp) {
             return Progress.NOT_SENT;
         }
