Read the socket before a silent connection is given up on; reopen the roster's socket

By review, no test: an exception in the thread that waits for the end ended the process with all that it owed (Server.awaitEnd).

--- a/src/main/java/tinroad/fastcgi/FrontConnection.java
+++ b/src/main/java/tinroad/fastcgi/FrontConnection.java
@@ -314,7 +314,12 @@
         }
         boolean late = owes(now - FastCgiFront.PATIENCE_MS);
         if (late && overdue) {
-            giveUp();
+            // Guards a first request that came while the process stood still between the two passes: it waits in the socket.
+            readNow();
+            late = owes(now - FastCgiFront.PATIENCE_MS);
+            if (late) {
+                giveUp();
+            }
         }
         overdue = late;
     }
--- a/src/main/java/tinroad/node/Server.java
+++ b/src/main/java/tinroad/node/Server.java
@@ -253,17 +253,26 @@
      */
     public void awaitEnd(Supplier<GatewayConfig> reread) throws InterruptedException {
         do {
-            share(succession.shared());
-            if (rereads.due(clock.now(), engine.reached())) {
-                GatewayConfig next = reread.get();
-                if (next != null && !(next.engine().equals(engineAt) && next.roster().equals(rosterAt))) {
-                    LOG.info("engine gone: the configuration has changed unheard");
-                    reload(next);
-                }
+            try {
+                watch(reread);
+            } catch (RuntimeException e) {
+                // Guards the process: with this thread it would end, whatever it owes.
+                LOG.error("watch failed", e);
             }
         } while (!ended.await(SHARE_MS, TimeUnit.MILLISECONDS));
     }
 
+    private void watch(Supplier<GatewayConfig> reread) {
+        share(succession.shared());
+        if (rereads.due(clock.now(), engine.reached())) {
+            GatewayConfig next = reread.get();
+            if (next != null && !(next.engine().equals(engineAt) && next.roster().equals(rosterAt))) {
+                LOG.info("engine gone: the configuration has changed unheard");
+                reload(next);
+            }
+        }
+    }
+
     private void share(boolean withAnother) {
         if (withAnother != shared) {
             shared = withAnother;
--- a/src/main/java/tinroad/roster/RosterReporter.java
+++ b/src/main/java/tinroad/roster/RosterReporter.java
@@ -47,6 +47,11 @@
 
     /** Opens the socket; nothing is reported before the first {@link #report}. */
     public void start() {
+        open();
+        again();
+    }
+
+    private void open() {
         channel = new Bootstrap().group(loop).channel(NioDatagramChannel.class)
                 .handler(new ChannelInboundHandlerAdapter() {
                     @Override
@@ -58,13 +63,16 @@
                     @Override
                     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) { }
                 }).bind(0).addListener(bound -> send()).channel();
-        again();
     }
 
     private void again() {
         loop.schedule(() -> {
             // First: guards the reports to come against one that fails.
             again();
+            // Guards a gateway that serves against leaving the list for good with its socket: a failed read closes it.
+            if (!channel.isOpen()) {
+                open();
+            }
             send();
         }, (long) (pace.next() * 1e6), TimeUnit.NANOSECONDS);
     }
--- a/src/test/java/tinroad/fastcgi/FrontCrossingTest.java
+++ b/src/test/java/tinroad/fastcgi/FrontCrossingTest.java
@@ -19,6 +19,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.BrokenBarrierException;
 import java.util.concurrent.CyclicBarrier;
 import java.util.concurrent.TimeUnit;
@@ -83,6 +84,13 @@
         return String.format("%016x", n);
     }
 
+    /** Those of a request that came so much later than the day began. */
+    private static Map<String, String> fields(int n, double later) {
+        Map<String, String> fields = Records.fields(id(n));
+        fields.put("HTTP_REQ_TIME", Long.toString(1_000_000 + (long) later));
+        return fields;
+    }
+
     private static void write(Socket caller, int n) throws IOException {
         caller.getOutputStream().write(Records.whole(n, Records.fields(id(n)), "body"));
     }
@@ -182,6 +190,19 @@
         assertEquals("2: " + SERVED + "r" + id(2), answer(resting));
     }
 
+    @Test
+    void theFirstRequestOnAConnectionThatIsGivenUpOnAsSilentIsAnswered() throws Exception {
+        served(1);
+        Socket silent = connect();
+        served(2);
+        loop.submit(() -> {
+            h.now += FastCgiFront.PATIENCE_MS + 1;
+            front.pass();
+        }).sync();
+        crossing(() -> silent.getOutputStream().write(Records.whole(3, fields(3, FastCgiFront.PATIENCE_MS), "body")), front::pass);
+        assertEquals("3: " + SERVED + "r" + id(3), answer(silent));
+    }
+
     @Test
     void aRequestOnARestingConnectionIsAnsweredWhenThisProcessLeaves() throws Exception {
         Socket resting = served(1);
