--- a/src/main/java/tinroad/fastcgi/Params.java
+++ b/src/main/java/tinroad/fastcgi/Params.java
@@ -41,7 +41,9 @@
     static Params read(ByteBuf in) {
         Params params = new Params();
         params.whole = true;
-        params.whole &= pairs(in, params::set);
+        // Apart: what a field given twice says meanwhile counts too.
+        boolean even = pairs(in, params::set);
+        params.whole &= even;
         return params;
     }
 
--- a/src/test/java/tinroad/fastcgi/FrontConnectionTest.java
+++ b/src/test/java/tinroad/fastcgi/FrontConnectionTest.java
@@ -172,7 +172,9 @@
             "Infinity", "1e3", "0x1p3", " 1", "1d"}, {"HTTP_REQ_RANK", "", "NaN", "1", "-0.5", "."},
             {"HTTP_REQ_TIME", "", "soon", "-1", "+1000000", "1", "9999999999999", "99999999999999999999"},
             {"HTTP_REQ_FROM", "", "-1", "4.5", "99999999999"}, {"HTTP_REQ_OWNER", "", "nobody"},
-            {"HTTP_REQ_KEY", "k".repeat(129)}, {"SCRIPT_NAME", "/v1/nothing", "/v2/read"}, {"REQUEST_METHOD", "GET"}};
+            {"HTTP_REQ_KEY", "k".repeat(129)}, {"HTTP_REQ_TOKEN", "", "a".repeat(65), "xyz", "-1"},
+            {"HTTP_REQ_WAIT_MS", "", "-1", "soon", "NaN", "86400001", "9".repeat(400), "1e3"}, {"HTTP_REQ_RETRY", "", "2", "-1", "yes"},
+            {"SCRIPT_NAME", "/v1/nothing", "/v2/read"}, {"REQUEST_METHOD", "GET"}};
         for (String[] field : bad) {
             for (String value : Arrays.copyOfRange(field, 1, field.length)) {
                 Map<String, String> fields = Records.fields(id(3));
@@ -188,6 +190,44 @@
         assertTrue(channel.isOpen());
     }
 
+    @Test
+    void aFieldThatIsGivenTwiceFailsItsRequestAlone() {
+        for (String field : List.of("HTTP_REQ_ID", "HTTP_REQ_TOKEN", "HTTP_REQ_WAIT_MS", "HTTP_REQ_RETRY", "HTTP_REQ_OWNER")) {
+            Map<String, String> fields = Records.fields(id(3));
+            fields.put("HTTP_REQ_TOKEN", "ab");
+            fields.put("HTTP_REQ_WAIT_MS", "100");
+            fields.put("HTTP_REQ_RETRY", "1");
+            byte[] again = Records.pairs(Map.of(field, fields.get(field)), new Random(1));
+            receive(Records.begin(3, 1, 1), Records.record(4, 3, Records.pairs(fields, new Random(2)), 0),
+                    Records.record(4, 3, again, 0), Records.record(4, 3, NONE, 0), Records.record(5, 3, NONE, 0));
+            assertEquals(List.of("3: " + INVALID), answers(), field);
+        }
+        assertNull(h.module.last);
+        assertTrue(channel.isOpen());
+    }
+
+    @Test
+    void aMarkedTryAndItsCallersWaitReachTheModuleAndTheLevelGoesOutWithAnswersAndChecks() {
+        h = Harness.keyed();
+        front = new FastCgiFront(h, h.gateway, 1024, 192);
+        channel = connect();
+        h.module.onRequest = r -> h.module.act.refuse(r.id(), 0, false);
+        Map<String, String> fields = Records.fields(id(1));
+        fields.put("HTTP_REQ_WAIT_MS", "480.5");
+        fields.put("HTTP_REQ_RETRY", "1");
+        receive(Records.whole(1, fields, "body"));
+        assertTrue(h.module.last.resent());
+        assertEquals(h.now + 480.5, h.module.last.due());
+        h.module.act.say(0.25);
+        receive(Records.whole(2, Records.fields(id(2)), "body"), Records.whole(3, Map.of("SCRIPT_NAME", "/healthz"), ""));
+        assertFalse(h.module.last.resent());
+        assertEquals(0, h.module.last.due(), "its caller did not tell");
+        h.module.act.say(1e-7);
+        receive(Records.whole(4, Map.of("SCRIPT_NAME", "/healthz"), ""));
+        assertEquals(List.of("1: Status: 503 Service Unavailable\r\n\r\n", "2: Status: 503 Service Unavailable\r\nSrv-Load: 0.250\r\n\r\n",
+                "3: Status: 200 OK\r\nSrv-Load: 0.250\r\n\r\n", "4: Status: 200 OK\r\nSrv-Load: 0.000\r\n\r\n"), answers());
+    }
+
     @Test
     void unknownRolesTypesAndManagementRecordsAreAnswered() {
         receive(Records.begin(1, 2, 1), Records.record(4, 1, NONE, 0), Records.record(5, 1, NONE, 0),
