Keep no leaving process from its end with half a request

Cause: a request begun late in a drain had 1.5 s to be whole (FrontConnection.owes), longer than what is left: the process stood until SIGKILL. While leaving it has 100 ms, fails, and the connection ends (FrontCrossingTest).

--- a/src/main/java/tinroad/fastcgi/FastCgiFront.java
+++ b/src/main/java/tinroad/fastcgi/FastCgiFront.java
@@ -41,6 +41,8 @@
     static final int RESERVED = 80;
     /** So long a connection may take, in ms, for its first whole request, and any later one that it has begun. */
     static final double PATIENCE_MS = 1500;
+    /** The same once the process leaves: nobody may keep it from its end with half a request. */
+    static final double LEAVING_PATIENCE_MS = 100;
     /** So long a connection that was given up on is kept, in ms, for its last answers to be read. */
     static final double LINGER_MS = 500;
     /** The same where its last answers have not even left yet, because it reads slowly. */
@@ -225,6 +227,11 @@
         return clock.now();
     }
 
+    /** How long a connection may take for what it has begun. */
+    double patience() {
+        return leaving ? LEAVING_PATIENCE_MS : PATIENCE_MS;
+    }
+
     boolean leaving() {
         return leaving;
     }
--- a/src/main/java/tinroad/fastcgi/FrontConnection.java
+++ b/src/main/java/tinroad/fastcgi/FrontConnection.java
@@ -312,11 +312,11 @@
         if (givenUp || lingering) {
             return;
         }
-        boolean late = owes(now - FastCgiFront.PATIENCE_MS);
+        boolean late = owes(now - front.patience());
         if (late && overdue) {
             // Guards a first request that came while the process stood still between the two passes: it waits in the socket.
             readNow();
-            late = owes(now - FastCgiFront.PATIENCE_MS);
+            late = owes(now - front.patience());
             if (late) {
                 giveUp();
             }
--- a/src/test/java/tinroad/fastcgi/FrontCrossingTest.java
+++ b/src/test/java/tinroad/fastcgi/FrontCrossingTest.java
@@ -21,6 +21,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.BrokenBarrierException;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.CyclicBarrier;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
@@ -232,6 +233,36 @@
         assertEquals(-1, other.getInputStream().read());
     }
 
+    @Test
+    void halfARequestDoesNotKeepALeavingProcessFromItsEnd() throws Exception {
+        Socket half = connect();
+        half.getOutputStream().write(Records.whole(1, Records.fields(id(1)), "body"), 0, 60);
+        served(2);
+        loop.submit(() -> {
+            front.leave();
+            front.pass();
+            h.now += FastCgiFront.LEAVING_PATIENCE_MS + 1;
+            front.pass();
+            front.pass();
+        }).sync();
+        assertEquals("1: Status: 400 Bad Request\r\n\r\n", answer(half));
+        assertEquals(-1, half.getInputStream().read());
+        half.close();
+        CountDownLatch empty = new CountDownLatch(1);
+        loop.execute(new Runnable() {
+            @Override
+            public void run() {
+                front.pass();
+                if (front.connections() == 0) {
+                    empty.countDown();
+                } else {
+                    loop.execute(this);
+                }
+            }
+        });
+        assertTrue(empty.await(HUNG_MS, TimeUnit.MILLISECONDS));
+    }
+
     /** A socket that takes nothing, as that of a caller that reads very slowly, until it is told to. */
     private static final class SlowChannel extends EmbeddedChannel {
         private boolean takes;
