--- a/src/test/java/tinroad/cli/CrossingTest.java
+++ b/src/test/java/tinroad/cli/CrossingTest.java
@@ -285,6 +285,27 @@
         assertEquals(runs.size(), runs.stream().distinct().count(), "nothing runs twice");
     }
 
+    /** The grace is counted from the notice, which this process may hear late: its last tenth is not used. */
+    @Test
+    void nothingRunsThatCameSoLateInTheGraceThatANoticeHeardLateWouldBreakIt() throws Exception {
+        double grace = 2500;
+        InetSocketAddress at = start(1024, 8000);
+        Socket known = connect(at, "127.0.0.1");
+        assertEquals("Status: 200 OK", ask(known, 1));
+        long noticed = System.nanoTime();
+        signal("TERM");
+        logged("draining");
+        int n = 2;
+        assertEquals("Status: 200 OK", ask(known, n++), "in the grace it serves on");
+        // Callers go on asking; how long a stretch this takes here only makes what comes after it later.
+        while (System.nanoTime() - noticed < 0.92 * grace * 1e6) {
+            isAnswered(ask(known, n++));
+        }
+        runs.clear();
+        assertEquals("Status: 503 Service Unavailable", ask(known, n));
+        assertTrue(runs.isEmpty());
+    }
+
     /** Idle callers from many addresses hold all descriptors, with the roster gone and the engine's link lost in the middle of it. */
     @Test
     void whileIdleCallersHoldAllDescriptorsWhatWasReadIsAnsweredAndLinksAndKnownCallersHaveTheirs() throws Exception {
