Measure in the lab how long started-again processes take to report; hold their order of events in a test

CrossingTest: a killed process that starts again answers 503 and reports nothing before its engine is up, and serves what comes with its first report. ScriptTest counts one script more.

--- a/src/main/java/tinroad/lab/Lab.java
+++ b/src/main/java/tinroad/lab/Lab.java
@@ -384,9 +384,11 @@
     /** Starts a process of this gateway; off the event loop. */
     private void begin(Member m, boolean cold, String jar) throws IOException {
         write(m, cold);
+        double begunAt = now();
         GatewayProcess process = GatewayProcess.start(jar, m.folder, options.operator == null ? null : operator(m));
         loop.execute(() -> {
             Life life = ledger.begins(m.number);
+            life.begunAt = begunAt;
             m.life = life;
             m.process = process;
             m.away = false;
--- a/src/main/java/tinroad/lab/Report.java
+++ b/src/main/java/tinroad/lab/Report.java
@@ -63,6 +63,9 @@
         put("bound_s", new Bound(plan, 0).toFullService(ledger.faultEnd, measures.before()) / 1000);
         put("bound_reached_s", new Bound(plan, REACH_AFTER + (script.roster().lateLeast() + script.roster().lateMost()) / 2)
                 .toFullService(ledger.faultEnd, measures.before()) / 1000);
+        put("ready_p50_s", measures.ready(0.5) / 1000);
+        put("ready_p90_s", measures.ready(0.9) / 1000);
+        put("ready_most_s", measures.ready(1) / 1000);
         put("tries_per_first", measures.triesPerFirst());
         put("peak_over_mean", measures.peakOverMean());
         put("wasted", measures.wasted());
--- a/src/main/java/tinroad/lab/stand/RosterStand.java
+++ b/src/main/java/tinroad/lab/stand/RosterStand.java
@@ -70,6 +70,9 @@
     /** A report came. */
     public void heard(int gateway, boolean takesWork) {
         list.heard(gateway, takesWork, world.now());
+        if (takesWork) {
+            world.ledger.listed(gateway, world.now());
+        }
     }
 
     /** Looks for changes from now on. */
--- a/src/main/java/tinroad/lab/truth/Ledger.java
+++ b/src/main/java/tinroad/lab/truth/Ledger.java
@@ -26,6 +26,9 @@
     public static final class Life {
         public final int gateway;
         public final int number;
+        /** When its process was started, and when the roster first heard that it takes work; NaN where nobody looked, or never. */
+        public double begunAt = Double.NaN;
+        public double listedAt = Double.NaN;
         public double noticedAt = Double.NaN;
         public double endedAt = Double.NaN;
         public int exit = -1;
@@ -91,6 +94,12 @@
         return life;
     }
 
+    /** The roster heard that this gateway takes work. */
+    public void listed(int gateway, double at) {
+        lives.stream().filter(l -> l.gateway == gateway).reduce((earlier, later) -> later).filter(l -> Double.isNaN(l.listedAt))
+                .ifPresent(l -> l.listedAt = at);
+    }
+
     /** Counts one more. */
     public void count(Count what, int gateway, double at) {
         int[] seconds = counts[what.ordinal()][gateway];
--- a/src/main/java/tinroad/lab/truth/Measures.java
+++ b/src/main/java/tinroad/lab/truth/Measures.java
@@ -116,6 +116,16 @@
         return sum == 0 ? Double.NaN : (double) most * bins.length / sum;
     }
 
+    /**
+     * Time from the start of a process to its first report that it takes work, of this part of all that were started again;
+     * infinite where that never came, NaN where none was, or nobody looked.
+     */
+    public double ready(double part) {
+        double[] all = ledger.lives.stream().filter(l -> l.number > 0 && !Double.isNaN(l.begunAt))
+                .mapToDouble(l -> Double.isNaN(l.listedAt) ? Double.POSITIVE_INFINITY : l.listedAt - l.begunAt).sorted().toArray();
+        return all.length == 0 ? Double.NaN : all[(int) Math.ceil(part * all.length) - 1];
+    }
+
     /** Tries for each request, from the first moment that counts. */
     public double triesPerFirst() {
         long requests = ledger.fates.stream().filter(f -> f.asked.at() >= script.settle()).count();
--- a/src/test/java/tinroad/cli/CrossingTest.java
+++ b/src/test/java/tinroad/cli/CrossingTest.java
@@ -1,6 +1,7 @@
 package tinroad.cli;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.BufferedReader;
@@ -26,6 +27,7 @@
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -57,6 +59,8 @@
     private final BlockingQueue<String> runs = new LinkedBlockingQueue<>();
     private final BlockingQueue<String> log = new LinkedBlockingQueue<>();
     private volatile boolean runsEnd = true;
+    /** So many links are still greeted. */
+    private final Semaphore hellos = new Semaphore(100);
     private volatile Socket link;
     private int notices;
 
@@ -119,6 +123,7 @@
         for (String line = lines.readLine(); line != null; line = lines.readLine()) {
             if (line.contains("\"ATTACH\"")) {
                 link = on;
+                hellos.acquireUninterruptibly();
                 tell(on, "{\"type\":\"HELLO\",\"state\":\"seasoned\",\"took\":900000}");
             } else if (line.contains("\"STAT\"")) {
                 Matcher ref = REF.matcher(line);
@@ -142,6 +147,12 @@
 
     /** Starts the program, perhaps by another, and returns where it listens once its health is good. */
     private InetSocketAddress start(int sockets, int stopMs, String... by) throws Exception {
+        InetSocketAddress at = listens(sockets, stopMs, by);
+        logged("health good");
+        return at;
+    }
+
+    private InetSocketAddress listens(int sockets, int stopMs, String... by) throws Exception {
         Path file = dir.resolve("config.json");
         Files.writeString(file, Files.readString(Path.of("deploy/example.json"))
                 .replace(":4400", ":" + engine.getLocalPort()).replace(":8761", ":" + roster.getLocalPort())
@@ -160,7 +171,6 @@
             }
         });
         String listening = logged("listening on ");
-        logged("health good");
         Matcher port = Pattern.compile("listening on \\S*:(\\d+) as").matcher(listening);
         assertTrue(port.find(), listening);
         return new InetSocketAddress("127.0.0.1", Integer.parseInt(port.group(1)));
@@ -285,6 +295,36 @@
         assertEquals(runs.size(), runs.stream().distinct().count(), "nothing runs twice");
     }
 
+    /** A process that was killed and starts again: nobody hears that it takes work before it does. */
+    @Test
+    void aProcessThatIsStartedAgainIsOnTheListOnlyOnceItServes() throws Exception {
+        DatagramPacket report = new DatagramPacket(new byte[64], 64);
+        for (int life = 0; life < 2; life++) {
+            hellos.drainPermits();
+            InetSocketAddress at = listens(1024, 1000);
+            assertEquals("Status: 503 Service Unavailable", ask(connect(at, "127.0.0.1"), 1), "its engine is not up");
+            assertThrows(SocketTimeoutException.class, () -> hears(report, 1), "and nobody is told to come");
+            hellos.release(100);
+            hears(report, HUNG_MS);
+            assertEquals("HERE n3 on", new String(report.getData(), 0, report.getLength(), StandardCharsets.US_ASCII));
+            assertEquals("Status: 200 OK", ask(connect(at, "127.0.0.1"), 2));
+            gateway.destroyForcibly().waitFor();
+            // What the dead process sent is heard out.
+            while (true) {
+                try {
+                    hears(report, 1);
+                } catch (SocketTimeoutException e) {
+                    break;
+                }
+            }
+        }
+    }
+
+    private void hears(DatagramPacket report, int within) throws IOException {
+        roster.setSoTimeout(within);
+        roster.receive(report);
+    }
+
     /** The grace is counted from the notice, which this process may hear late: its last tenth is not used. */
     @Test
     void nothingRunsThatCameSoLateInTheGraceThatANoticeHeardLateWouldBreakIt() throws Exception {
--- a/src/test/java/tinroad/lab/script/ScriptTest.java
+++ b/src/test/java/tinroad/lab/script/ScriptTest.java
@@ -62,7 +62,7 @@
     void whatShipsCanBePlayed() throws Exception {
         try (Stream<Path> files = Files.list(Path.of("lab"))) {
             List<Path> scripts = files.filter(f -> f.toString().endsWith(".conf")).toList();
-            assertEquals(20, scripts.size());
+            assertEquals(21, scripts.size());
             for (Path script : scripts) {
                 assertTrue(ScriptReader.read(script).title().length() > 10, script::toString);
             }
--- a/src/test/java/tinroad/lab/truth/MeasuresTest.java
+++ b/src/test/java/tinroad/lab/truth/MeasuresTest.java
@@ -44,6 +44,23 @@
         assertTrue(Double.isNaN(new Measures(ledger).toFullService()));
     }
 
+    @Test
+    void howLongStartedAgainProcessesTakeIsCountedToTheirFirstReport() {
+        assertTrue(Double.isNaN(new Measures(ledger).ready(0.9)));
+        for (int g = 0; g < 10; g++) {
+            ledger.begins(g).begunAt = -1000;
+            ledger.listed(g, 0);
+            ledger.begins(g).begunAt = 6000;
+            if (g < 9) {
+                ledger.listed(g, 7000 + 100 * g);
+                ledger.listed(g, 9000);
+            }
+        }
+        assertEquals(1400, new Measures(ledger).ready(0.5));
+        assertEquals(1800, new Measures(ledger).ready(0.9));
+        assertEquals(Double.POSITIVE_INFINITY, new Measures(ledger).ready(1), "one was never heard of");
+    }
+
     /** Seven of ten gone at 8 s, back from 11 to 16 s, their engines a second later, at a quarter of their speed for 8 s. */
     @Test
     void theBoundFollowsTheWarmUpOfTheEngines() {
