--- a/src/main/java/tinroad/node/Server.java
+++ b/src/main/java/tinroad/node/Server.java
@@ -34,7 +34,9 @@
     /** The same as a part of that time. */
     private static final double EXIT_PART = 0.1;
     /** Part of the grace for which a notice may have been on its way from the system to the thread that hears it. */
-    static final double UNHEARD_PART = 0.1;
+    private static final double UNHEARD_PART = 0.1;
+    /** Neither is more than this, in ms: what a process may be late does not grow with what it is given. */
+    private static final double MOST_LATE = 500;
     /** So long before that no new connection is taken, and empty ones are closed. */
     private static final double CLOSING = 250;
     private static final long POLL_MS = 10;
@@ -224,9 +226,10 @@
     }
 
     private void drain(double noticedAt) {
-        double leaveAt = noticedAt + Math.max(0, config.stopMs() - Math.max(EXIT_MARGIN, EXIT_PART * config.stopMs()));
+        double leaveAt = noticedAt + Math.max(0, config.stopMs() - Math.max(EXIT_MARGIN, Math.min(MOST_LATE, EXIT_PART * config.stopMs())));
         // Guards the grace against a notice that was heard late, as where the process gets little of a core.
-        gateway.drain(noticedAt - UNHEARD_PART * config.site().settings().rules().drainGrace(), leaveAt);
+        double grace = config.site().settings().rules().drainGrace();
+        gateway.drain(noticedAt - Math.min(MOST_LATE, UNHEARD_PART * grace), leaveAt);
         if (fleet != null) {
             fleet.leave();
         }
