--- a/src/test/java/tinroad/cli/CrossingTest.java
+++ b/src/test/java/tinroad/cli/CrossingTest.java
@@ -386,6 +386,35 @@
         assertTrue(gateway.waitFor(HUNG_MS, TimeUnit.MILLISECONDS));
     }
 
+    /** One byte at a time, each way: served like any other, and nobody waits for it. */
+    @Test
+    void aCallerThatWritesAndReadsOneByteAtATimeIsServedBesideOthers() throws Exception {
+        InetSocketAddress at = start(300, 1000);
+        Socket known = connect(at, "127.0.0.1");
+        Socket slow = connect(at, "127.0.0.2");
+        slow.setTcpNoDelay(true);
+        slow.setReceiveBufferSize(1);
+        byte[] request = request(1, "order-status");
+        for (int i = 0; i < request.length; i++) {
+            slow.getOutputStream().write(request, i, 1);
+            if (i % 50 == 0) {
+                assertEquals("Status: 200 OK", ask(known, 100 + i));
+            }
+        }
+        ByteArrayOutputStream read = new ByteArrayOutputStream();
+        // Until END_REQUEST, the one record of type 3, is whole: eight bytes of head and eight of body.
+        while (!endsRequest(read.toByteArray())) {
+            read.write(slow.getInputStream().readNBytes(1));
+        }
+        assertTrue(read.toString(StandardCharsets.ISO_8859_1).contains("Status: 200 OK"));
+        assertEquals("Status: 200 OK", ask(known, 2));
+    }
+
+    private static boolean endsRequest(byte[] read) {
+        int end = read.length - 16;
+        return end >= 0 && read[end] == 1 && read[end + 1] == 3;
+    }
+
     /** A flood of half requests, one byte at a time, and of garbage: nobody else waits, and each gets an end. */
     @Test
     void floodsOfHalfRequestsAndOfGarbageCostNobodyElseAnything() throws Exception {
