Ask a request in one place whether it may have run, and fail an unsent one in one place

Seen on reading the repair again: Gateway.request and Gateway.finish each wrote out whether a try, or another one of its token, was sent to run; Gateway.send failed a request and gave its place back twice, line for line. Now Request.mayHaveRun and Gateway.failUnsent. Only tries of keyed classes can repeat something that ran, so the tests for a token beside it said nothing.

--- a/src/main/java/tinroad/core/Gateway.java
+++ b/src/main/java/tinroad/core/Gateway.java
@@ -320,14 +320,13 @@
         double due = now - age + (told ? Math.min(in.waitMs(), c.deadline()) : c.deadline());
         Request request = new Request(in, cls, due, keyed, c.semantics() == Semantics.FREE, requester);
         request.repeats = repeats.find(request, now);
-        boolean mayHaveRun = keyed && request.repeats != null && request.repeats.ran();
         if (Repeats.conflicts(request, request.repeats)) {
             turnAway(cls, requester, Answer.invalid());
             return;
         }
         // Guards the module's averages against what was due before it was read: nobody waits for it.
         if (!started || now >= due || keyed && request.repeats == null && repeats.full()) {
-            turnAway(cls, requester, mayHaveRun ? Answer.failed(Progress.SENT) : Answer.refused(0, false));
+            turnAway(cls, requester, request.mayHaveRun() ? Answer.failed(Progress.SENT) : Answer.refused(0, false));
             return;
         }
         requests.put(request.id, request);
@@ -504,9 +503,7 @@
                 tell(() -> controller.ended(clock.now(), r.id, 0, Outcome.IGNORED));
             }
         }
-        boolean sent = r.progress != Progress.NOT_SENT || r.token != null && r.repeats != null && r.repeats.ran();
-        boolean mayHaveRun = answer.kind() == Answer.Kind.REFUSED && sent;
-        Answer honest = mayHaveRun ? Answer.failed(r.progress) : answer;
+        Answer honest = answer.kind() == Answer.Kind.REFUSED && r.mayHaveRun() ? Answer.failed(r.progress) : answer;
         figures.answered(r.cls, honest.kind());
         r.requester.answer(honest);
     }
@@ -600,8 +597,7 @@
         RequestClass c = site.settings().classes().get(r.cls);
         if (!repeats.mayRun(r, c.keyWindow(), c.deadline(), clock.now())) {
             // Guards the rule of one run where the module does not: another try of it has run, or is about to.
-            finish(r, Answer.failed(Progress.NOT_SENT));
-            tell(() -> controller.ended(clock.now(), r.id, 0, Outcome.IGNORED));
+            failUnsent(r);
             return;
         }
         try {
@@ -610,8 +606,7 @@
             // Guards the request, and its place in the module, against an order that can't even be written: nothing has left.
             log.error("order not written: {}", e.toString());
             repeats.unsent(r);
-            finish(r, Answer.failed(Progress.NOT_SENT));
-            tell(() -> controller.ended(clock.now(), r.id, 0, Outcome.IGNORED));
+            failUnsent(r);
             return;
         }
         if (r.progress == Progress.NOT_SENT) {
@@ -622,6 +617,12 @@
         }
     }
 
+    /** It is not ordered after all: it fails alone, and the module gets its place back. */
+    private void failUnsent(Request r) {
+        finish(r, Answer.failed(Progress.NOT_SENT));
+        tell(() -> controller.ended(clock.now(), r.id, 0, Outcome.IGNORED));
+    }
+
     private void tellHealth() {
         boolean next = moduleGood && !draining && !evacuated;
         if (next != healthy && !replaced) {
--- a/src/main/java/tinroad/core/Request.java
+++ b/src/main/java/tinroad/core/Request.java
@@ -43,6 +43,11 @@
         body = in.body();
     }
 
+    /** Whether it was sent to run, or another try of it was: then no answer may say that nothing ran. */
+    boolean mayHaveRun() {
+        return progress != Progress.NOT_SENT || repeats != null && repeats.ran();
+    }
+
     /** Tells whether two tries carry the same body; asked for while the body is there. */
     byte[] digest() {
         if (digest == null) {
