Name the seam of settings that change in place: catalog, change, delta, places

Need: routes and tenants come in force only at the next start. Change: the types that the module, the core and the catalog share; the module does nothing with them yet. LayersTest counts the catalog among the decisions. Not measured: nothing uses it.

--- a/src/main/java/tinroad/Controller.java
+++ b/src/main/java/tinroad/Controller.java
@@ -46,6 +46,21 @@
      */
     default void restore(Map<String, Known> known, boolean cold) { }
 
+    /**
+     * Prepares a part of a change of classes and tenants, as many parts as it takes. Nothing of it counts before
+     * {@link #commit}, so that no event waits long for a large change.
+     */
+    default void stage(List<ClassAt> classes, List<TenantAt> tenants) { }
+
+    /**
+     * All that was staged counts from now on, at one instant. What is in hand keeps the due time, the effect and the tenant that
+     * it came under; what was learned of a place that stays used stays.
+     */
+    default void commit(double now) { }
+
+    /** Nothing that was staged since the last commit counts. */
+    default void unstage() { }
+
     /** What the controller may do. Every action takes effect at the time of the event being handled. */
     interface Actions {
         /** Starts a held request or resumes a paused one. */
@@ -123,6 +138,15 @@
     /** A tenant's part: requests a second over the whole fleet, and share of the service. */
     record Tenant(double quotaPerSecond, double share) { }
 
+    /**
+     * A class at its place, which requests name. {@code spec} null: no request comes under it any more; those in hand go on. A
+     * spec at a place that had none begins with nothing learned; the place is given anew only once nothing in hand names it.
+     */
+    record ClassAt(int place, RequestClass spec) { }
+
+    /** The same of a tenant. */
+    record TenantAt(int place, Tenant spec) { }
+
     /** Weights of the operators' goal. */
     record Goal(double whole, double worstWindow, double worstClass, double worstTenant) { }
 
--- a/src/test/java/tinroad/LayersTest.java
+++ b/src/test/java/tinroad/LayersTest.java
@@ -15,7 +15,7 @@
 /** The layers of docs/architecture.md: who may know what. */
 class LayersTest {
     /** Packages of decisions and state: they know no clock, wire, file, socket or thread. */
-    private static final String[] DECISIONS = {"tinroad", "tinroad.route..", "tinroad.translate..", "tinroad.expect..", "tinroad.recovery..", "tinroad.fleet.."};
+    private static final String[] DECISIONS = {"tinroad", "tinroad.route..", "tinroad.translate..", "tinroad.expect..", "tinroad.recovery..", "tinroad.fleet..", "tinroad.catalog.."};
     private static final JavaClasses ALL = new ClassFileImporter().withImportOption(ImportOption.Predefined.DO_NOT_INCLUDE_TESTS)
             .importPackages("tinroad");
 
@@ -29,7 +29,7 @@
                 .layer("lab").definedBy("tinroad.lab..", "tinroad.model..")
                 .layer("core").definedBy("tinroad.core..")
                 .layer("decisions").definedBy("tinroad.route..", "tinroad.translate..", "tinroad.expect..", "tinroad.recovery..",
-                        "tinroad.fleet..")
+                        "tinroad.fleet..", "tinroad.catalog..")
                 .layer("settings").definedBy("tinroad.config..", "tinroad.operator..", "tinroad.state..")
                 .layer("log").definedBy("tinroad.log..")
                 .layer("module").definedBy("tinroad")
