Have the gateway hold a catalog of classes and tenants that changes in slices

Need: routes and tenants came in force only at the next start. What ran under a token never runs again, whatever becomes of its class.

--- a/src/main/java/tinroad/control/ControlCall.java
+++ b/src/main/java/tinroad/control/ControlCall.java
@@ -23,11 +23,12 @@
 import java.io.OutputStream;
 import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
-import java.util.function.IntToLongFunction;
 import java.util.function.Supplier;
+import java.util.function.ToLongFunction;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import tinroad.core.Figures;
@@ -124,12 +125,12 @@
     }
 
     private FullHttpResponse figures() {
-        Figures figures = gateway.figures();
+        List<Figures.Row> rows = gateway.figures().rows();
         return object(json -> {
-            byClass(json, "success", figures, figures::served);
-            byClass(json, "busy", figures, figures::refused);
-            byClass(json, "failure", figures, figures::failed);
-            json.writeNumberField("backend_calls", figures.runs());
+            byClass(json, "success", rows, Figures.Row::served);
+            byClass(json, "busy", rows, Figures.Row::refused);
+            byClass(json, "failure", rows, Figures.Row::failed);
+            json.writeNumberField("backend_calls", gateway.figures().runs());
             json.writeNumberField("inflight", gateway.inHand());
         });
     }
@@ -188,11 +189,11 @@
         }
     }
 
-    private static void byClass(JsonGenerator json, String name, Figures figures, IntToLongFunction count)
+    private static void byClass(JsonGenerator json, String name, List<Figures.Row> rows, ToLongFunction<Figures.Row> count)
             throws IOException {
         json.writeObjectFieldStart(name);
-        for (int i = 0; i < figures.classNames().size(); i++) {
-            json.writeNumberField(figures.classNames().get(i), count.applyAsLong(i));
+        for (Figures.Row row : rows) {
+            json.writeNumberField(row.name(), count.applyAsLong(row));
         }
         json.writeEndObject();
     }
--- a/src/main/java/tinroad/core/Gateway.java
+++ b/src/main/java/tinroad/core/Gateway.java
@@ -1,11 +1,15 @@
 package tinroad.core;
 
 import tinroad.Controller;
+import tinroad.Controller.ClassAt;
 import tinroad.Controller.Gauges;
 import tinroad.Controller.Outcome;
 import tinroad.Controller.RequestClass;
 import tinroad.Controller.Semantics;
 import tinroad.Controller.Settings;
+import tinroad.Controller.TenantAt;
+import tinroad.catalog.Catalog;
+import tinroad.catalog.Delta;
 import tinroad.config.Site;
 import tinroad.recovery.Comeback;
 import tinroad.recovery.Memory;
@@ -17,6 +21,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import org.slf4j.Logger;
 
@@ -41,15 +46,24 @@
     private static final double USUAL_RUN = 0.25;
     private static final Gauges NO_GAUGES = new Gauges(Double.NaN, Double.NaN, Double.NaN, Double.NaN);
 
-    private final Site site;
+    private final Settings settings;
     private final long seed;
     private final Clock clock;
     private final Timers timers;
     private final Engine engine;
     private final Controller controller;
     private final Logger log;
-    private final Map<String, Integer> classIndex = new HashMap<>();
-    private final Map<String, Integer> tenantIndex = new HashMap<>();
+    /** What requests are looked up in, swapped whole. */
+    private Catalog catalog;
+    private double catalogSince;
+    private final Reconfiguration reconfiguration;
+    private final Places classPlaces = new Places();
+    private final Places tenantPlaces = new Places();
+    /** Names by place; of a class that came later, from its first request on. */
+    private final List<String> classNames;
+    /** What came in force before the module began, by place: it is told once it begins. */
+    private final Map<Integer, ClassAt> earlyClasses = new LinkedHashMap<>();
+    private final Map<Integer, TenantAt> earlyTenants = new LinkedHashMap<>();
     /** All requests that are unanswered or may still run. */
     private final Map<String, Request> requests = new LinkedHashMap<>();
     /** Ids that ran, until no honest caller can name them any more: none is ever run twice. */
@@ -63,7 +77,9 @@
     private final List<Front> fronts = new ArrayList<>();
     private HealthListener healthListener = good -> { };
     private final Figures figures;
-    private final double farOff;
+    /** The longest deadline, and the quickest aim, that any class was ever told with. */
+    private double farOff = FAR_OFF;
+    private double quickest = Double.MAX_VALUE;
     private Comeback comeback;
     private Memory memory = Memory.NONE;
     private Map<String, Memory.Recalled> recalled = Map.of();
@@ -102,22 +118,27 @@
     /** A gateway round the controller that {@code module} makes; its state changes are told to {@code log}. */
     public Gateway(Site site, long seed, Clock clock, Timers timers, Engine engine,
             Function<Controller.Actions, Controller> module, Logger log) {
+        this(site, Catalog.of(0, 0, site.classNames(), site.settings().classes(), site.tenantNames(), site.settings().tenants()),
+                seed, clock, timers, engine, module, log);
+    }
+
+    /** The same, with the catalog of the site's classes and tenants: their places are those in the site's lists. */
+    public Gateway(Site site, Catalog catalog, long seed, Clock clock, Timers timers, Engine engine,
+            Function<Controller.Actions, Controller> module, Logger log) {
         this.log = log;
-        this.site = site;
+        this.settings = site.settings();
+        this.catalog = catalog;
+        this.classNames = new ArrayList<>(site.classNames());
         this.seed = seed;
         this.clock = clock;
         this.timers = timers;
         this.engine = engine;
         this.controller = module.apply(new Acts());
-        this.repeats = new Repeats(site.settings().freshFor());
-        this.figures = new Figures(site.classNames());
-        farOff = site.settings().classes().stream().mapToDouble(Controller.RequestClass::deadline).reduce(FAR_OFF, Math::max);
-        for (String name : site.classNames()) {
-            classIndex.put(name, classIndex.size());
-        }
-        for (String name : site.tenantNames()) {
-            tenantIndex.put(name, tenantIndex.size());
-        }
+        this.repeats = new Repeats(settings.freshFor());
+        this.figures = new Figures(classNames);
+        this.reconfiguration = new Reconfiguration(new Told(), timers);
+        catalogSince = clock.now();
+        settings.classes().forEach(this::bounds);
         comeback = watch(false);
     }
 
@@ -137,8 +158,16 @@
     }
 
     private Comeback watch(boolean distrusts) {
-        double quickest = site.settings().classes().stream().mapToDouble(Controller.RequestClass::aim).min().orElse(1);
-        return new Comeback(clock.now(), site.settings().cores(), USUAL_RUN * quickest, distrusts);
+        return new Comeback(clock.now(), settings.cores(), usualRun(), distrusts);
+    }
+
+    private double usualRun() {
+        return USUAL_RUN * (quickest == Double.MAX_VALUE ? 1 : quickest);
+    }
+
+    private void bounds(RequestClass spec) {
+        farOff = Math.max(farOff, spec.deadline());
+        quickest = Math.min(quickest, spec.aim());
     }
 
     /**
@@ -174,7 +203,12 @@
     public Map<String, Controller.Known> learned() {
         Map<String, Controller.Known> named = new LinkedHashMap<>();
         if (started) {
-            controller.learned().forEach((name, known) -> named.put(withClass(name), known));
+            controller.learned().forEach((name, known) -> {
+                String lasting = withClass(name);
+                if (lasting != null) {
+                    named.put(lasting, known);
+                }
+            });
         }
         return named;
     }
@@ -191,10 +225,18 @@
         return evacuated;
     }
 
-    /** The module names a class by its place, {@code run.0}; what outlives it goes by the class's name. */
+    /**
+     * The module names a class by its place, {@code run.0}; what outlives it goes by the class's name. Null where the class is
+     * no more, or was never asked for: nothing was learned of it.
+     */
     private String withClass(String name) {
         int dot = name.indexOf('.');
-        return dot < 0 ? name : name.substring(0, dot + 1) + site.classNames().get(Integer.parseInt(name.substring(dot + 1)));
+        if (dot < 0) {
+            return name;
+        }
+        int place = Integer.parseInt(name.substring(dot + 1));
+        Catalog.Route route = place < classNames.size() && classNames.get(place) != null ? catalog.route(classNames.get(place)) : null;
+        return route != null && route.place() == place ? name.substring(0, dot + 1) + route.name() : null;
     }
 
     private void restore(boolean cold) {
@@ -240,6 +282,38 @@
         return (int) requests.values().stream().filter(r -> !r.answered).count();
     }
 
+    /** What is in force: all classes and tenants. */
+    public Catalog catalog() {
+        return catalog;
+    }
+
+    /** Since when, in Unix ms. */
+    public double catalogSince() {
+        return catalogSince;
+    }
+
+    /** How many later versions it was told of that are not in force yet. */
+    public int catalogsWaiting() {
+        return reconfiguration.waiting();
+    }
+
+    // --- changes of classes and tenants ---
+
+    /**
+     * A later version of the catalog, with what it changes of the one told before: it comes in force at one instant, a little
+     * later. {@code end} hears whether it did; where the module failed it did not, and what was in force stays. A drain hinders
+     * nothing of it, and the end of the process drops what is not in force yet.
+     */
+    public void change(Catalog next, Delta delta, Consumer<Boolean> end) {
+        reconfiguration.add(next, delta, end);
+    }
+
+    /** Sets who hears of the places, of classes and of tenants, that were removed and that nothing in hand names any more. */
+    public void onFree(Consumer<int[]> classes, Consumer<int[]> tenants) {
+        classPlaces.onFree(classes);
+        tenantPlaces.onFree(tenants);
+    }
+
     /** What it has done so far. */
     public Figures figures() {
         return figures;
@@ -295,44 +369,45 @@
     /** A request was read; the requester gets exactly one answer, perhaps within this call. */
     public void request(Inbound in, Requester requester) {
         double now = clock.now();
-        Settings settings = site.settings();
-        Integer cls = classIndex.get(in.kind());
-        Integer tenant = tenantIndex.isEmpty() ? Integer.valueOf(0) : tenantIndex.get(in.owner());
-        if (cls == null) {
-            requester.answer(Answer.invalid());
+        Catalog.Route route = catalog.route(in.kind());
+        if (route == null) {
+            // Guards the promise of an invalid one: its class is gone, and another try of it has run.
+            requester.answer(repeats.ran(in.token()) ? Answer.failed(Progress.SENT) : Answer.invalid());
             return;
         }
-        if (tenant == null || Math.abs(now - in.arrivedAt()) > farOff
+        int tenant = tenantPlace(in.owner());
+        if (tenant < 0 || Math.abs(now - in.arrivedAt()) > farOff
                 || requests.containsKey(in.id()) || ran.containsKey(in.id())) {
-            turnAway(cls, requester, Answer.invalid());
+            turnAway(route, requester, Answer.invalid());
             return;
         }
-        RequestClass c = settings.classes().get(cls);
+        RequestClass c = route.spec();
         // Guards against a caller's clock that runs ahead: an age is never negative, a due time never later.
         double age = Math.max(0, now - in.arrivedAt());
-        boolean keyed = c.semantics() == Semantics.GUARDED;
+        // Guards the one run of what ran while its class was a keyed one.
+        boolean keyed = c.semantics() == Semantics.GUARDED || repeats.ran(in.token());
         // Without it nobody can tell whether it ran: no guess is made where the harm can't be undone.
         if (keyed && in.token() == null) {
-            turnAway(cls, requester, Answer.invalid());
+            turnAway(route, requester, Answer.invalid());
             return;
         }
         boolean told = settings.passesDeadline() && !Double.isNaN(in.waitMs());
         double due = now - age + (told ? Math.min(in.waitMs(), c.deadline()) : c.deadline());
-        Request request = new Request(in, cls, due, keyed, c.semantics() == Semantics.FREE, requester);
+        Request request = new Request(in, route, tenant, due, keyed, requester);
         request.repeats = repeats.find(request, now);
         if (Repeats.conflicts(request, request.repeats)) {
-            turnAway(cls, requester, Answer.invalid());
+            turnAway(route, requester, Answer.invalid());
             return;
         }
         // Guards the module's averages against what was due before it was read: nobody waits for it.
         if (!started || now >= due || keyed && request.repeats == null && repeats.full()) {
-            turnAway(cls, requester, request.mayHaveRun() ? Answer.failed(Progress.SENT) : Answer.refused(0, false));
+            turnAway(route, requester, request.mayHaveRun() ? Answer.failed(Progress.SENT) : Answer.refused(0, false));
             return;
         }
-        requests.put(request.id, request);
+        takeIn(request);
         String repeated = request.repeats == null ? null : request.repeats.id;
         double toldAge = whileDraining(now, age);
-        tell(() -> controller.request(now, new Controller.Request(in.id(), cls, tenant, in.caller(), in.memoryKb(),
+        tell(() -> controller.request(now, new Controller.Request(in.id(), route.place(), tenant, in.caller(), in.memoryKb(),
                 told ? due : 0, toldAge, in.rank(), 0, in.key(), repeated, in.resent(), c.semantics() != Semantics.FREE)));
         request.ownBody();
         comeback.asked(!request.answered || request.progress != Progress.NOT_SENT || request.repeats != null);
@@ -343,13 +418,44 @@
      * was whole only after it: it reached the machine with its last byte, and that is no earlier than anything but its reading.
      */
     private double whileDraining(double now, double age) {
-        double over = now - drainedAt - site.settings().rules().drainGrace();
+        double over = now - drainedAt - settings.rules().drainGrace();
         return draining && over > 0 ? Math.max(0, Math.min(age, over - 1)) : age;
     }
 
+    /** The tenant's place; where there are no tenants all is that of the first; negative where it is none of them. */
+    private int tenantPlace(String owner) {
+        if (catalog.tenants() == 0) {
+            return 0;
+        }
+        Catalog.Account account = catalog.tenant(owner);
+        return account == null ? -1 : account.place();
+    }
+
+    private void takeIn(Request r) {
+        int place = r.route.place();
+        while (classNames.size() <= place) {
+            classNames.add(null);
+        }
+        classNames.set(place, r.route.name());
+        classPlaces.take(place);
+        tenantPlaces.take(r.tenant);
+        requests.put(r.id, r);
+    }
+
+    /** It is in hand no more; false where it was not. */
+    private boolean letGo(Request r) {
+        if (!requests.remove(r.id, r)) {
+            return false;
+        }
+        double now = clock.now();
+        classPlaces.release(r.route.place(), now);
+        tenantPlaces.release(r.tenant, now);
+        return true;
+    }
+
     /** The answer to a request that never enters the table. */
-    private void turnAway(int cls, Requester requester, Answer answer) {
-        figures.answered(cls, answer.kind());
+    private void turnAway(Catalog.Route route, Requester requester, Answer answer) {
+        figures.answered(route.place(), route.name(), answer.kind());
         requester.answer(answer);
     }
 
@@ -378,12 +484,19 @@
         anotherEngine = started && engineStart > engineStartedAt + SAME_START;
         engineStartedAt = engineStart;
         if (!started) {
+            reconfiguration.restage();
             started = true;
             log.info("engine attached: {}, up for {} ms", fresh ? "fresh" : "seasoned", Math.round(startedAgo));
             timers.after(GUARD_PERIOD, this::guard);
             comeback.engine(clock.now(), fresh);
             tell(() -> {
-                controller.start(clock.now(), seed, site.settings());
+                controller.start(clock.now(), seed, settings);
+                if (!earlyClasses.isEmpty() || !earlyTenants.isEmpty()) {
+                    controller.stage(List.copyOf(earlyClasses.values()), List.copyOf(earlyTenants.values()));
+                    controller.commit(clock.now());
+                    earlyClasses.clear();
+                    earlyTenants.clear();
+                }
                 restore(fresh);
             });
             // Guards against a notice to leave that came before the engine: the module has to know it too.
@@ -423,7 +536,7 @@
             return;
         }
         for (Request r : List.copyOf(requests.values())) {
-            if (r.linkLost && !r.answered && engine.run(r.id, r.kind, r.body) == Progress.SENT) {
+            if (r.linkLost && !r.answered && engine.run(r.id, r.kind(), r.body) == Progress.SENT) {
                 r.linkLost = false;
             }
         }
@@ -440,9 +553,9 @@
         r.progress = end == Engine.End.REJECTED ? Progress.NOT_SENT : Progress.RAN;
         conclude(r, end == Engine.End.DONE ? result : null);
         finish(r, end == Engine.End.DONE ? Answer.served(result) : Answer.failed(r.progress));
-        requests.remove(id);
+        letGo(r);
         if (end == Engine.End.DONE) {
-            comeback.ended(clock.now(), took, USUAL_RUN * site.settings().classes().get(r.cls).aim());
+            comeback.ended(clock.now(), took, USUAL_RUN * r.spec().aim());
         }
         // Guards a caller's id against others that name it first, with what the engine does not know.
         if (end != Engine.End.REJECTED) {
@@ -497,14 +610,14 @@
         r.answered = true;
         r.dropBody();
         if (r.progress == Progress.NOT_SENT) {
-            requests.remove(r.id);
+            letGo(r);
             conclude(r, null);
             if (unsent.remove(r)) {
                 tell(() -> controller.ended(clock.now(), r.id, 0, Outcome.IGNORED));
             }
         }
         Answer honest = answer.kind() == Answer.Kind.REFUSED && r.mayHaveRun() ? Answer.failed(r.progress) : answer;
-        figures.answered(r.cls, honest.kind());
+        figures.answered(r.route.place(), r.kind(), honest.kind());
         r.requester.answer(honest);
     }
 
@@ -539,7 +652,7 @@
                 finish(r, Answer.failed(r.progress));
             }
             // Guards against a RUN lost with its link: nobody will tell of it, and its place must not stay taken.
-            if (r.answered && r.linkLost && now >= r.due + LOST_RUN_KEPT && requests.remove(r.id) != null) {
+            if (r.answered && r.linkLost && now >= r.due + LOST_RUN_KEPT && letGo(r)) {
                 remember(r);
                 conclude(r, null);
                 tell(() -> controller.ended(clock.now(), r.id, 0, Outcome.IGNORED));
@@ -548,6 +661,8 @@
         ran.values().removeIf(due -> due < now);
         comeback.tick(now);
         repeats.expire(now);
+        classPlaces.sweep(now);
+        tenantPlaces.sweep(now);
     }
 
     // --- the module ---
@@ -594,14 +709,14 @@
     }
 
     private void send(Request r) {
-        RequestClass c = site.settings().classes().get(r.cls);
+        RequestClass c = r.spec();
         if (!repeats.mayRun(r, c.keyWindow(), c.deadline(), clock.now())) {
             // Guards the rule of one run where the module does not: another try of it has run, or is about to.
             failUnsent(r);
             return;
         }
         try {
-            r.progress = engine.run(r.id, r.kind, r.body);
+            r.progress = engine.run(r.id, r.kind(), r.body);
         } catch (RuntimeException | OutOfMemoryError e) {
             // Guards the request, and its place in the module, against an order that can't even be written: nothing has left.
             log.error("order not written: {}", e.toString());
@@ -632,6 +747,62 @@
         }
     }
 
+    /** What a change of classes and tenants means to the parts of this gateway. */
+    private final class Told implements Reconfiguration.Target {
+        @Override public boolean stage(List<ClassAt> classes, List<TenantAt> tenants) {
+            for (ClassAt c : classes) {
+                if (c.spec() != null) {
+                    bounds(c.spec());
+                }
+            }
+            return !started || done(() -> controller.stage(classes, tenants));
+        }
+
+        @Override public boolean commit(Catalog next) {
+            if (started && !done(() -> controller.commit(clock.now()))) {
+                return false;
+            }
+            catalog = next;
+            catalogSince = clock.now();
+            comeback.usualRun(usualRun());
+            return true;
+        }
+
+        @Override public void unstage() {
+            done(controller::unstage);
+            log.error("settings stay as they were: the module failed at a change of them");
+        }
+
+        @Override public void settle(List<ClassAt> classes, List<TenantAt> tenants) {
+            double now = clock.now();
+            for (ClassAt c : classes) {
+                if (c.spec() == null) {
+                    classPlaces.remove(c.place(), now);
+                }
+                if (!started) {
+                    earlyClasses.put(c.place(), c);
+                }
+            }
+            for (TenantAt t : tenants) {
+                if (t.spec() == null) {
+                    tenantPlaces.remove(t.place(), now);
+                }
+                if (!started) {
+                    earlyTenants.put(t.place(), t);
+                }
+            }
+        }
+
+        private boolean done(Runnable event) {
+            boolean[] through = {false};
+            tell(() -> {
+                event.run();
+                through[0] = true;
+            });
+            return through[0];
+        }
+    }
+
     /** What the module may do, carried out. */
     private final class Acts implements Controller.Actions {
         @Override public void run(String id) {
--- a/src/main/java/tinroad/core/Repeats.java
+++ b/src/main/java/tinroad/core/Repeats.java
@@ -67,7 +67,7 @@
 
         private Kept(Request r) {
             id = r.id;
-            kind = r.kind;
+            kind = r.kind();
             token = r.token;
             digest = r.token == null ? null : r.digest();
         }
@@ -92,7 +92,7 @@
     }
 
     private static String entry(Request r) {
-        return r.kind + ' ' + r.key;
+        return r.kind() + ' ' + r.key;
     }
 
     /** What this request repeats, or null. */
@@ -118,7 +118,13 @@
     /** Whether the token that it carries names another request: another class, or another body. */
     static boolean conflicts(Request r, Kept repeated) {
         return r.token != null && repeated != null
-                && !(r.kind.equals(repeated.kind) && Arrays.equals(r.digest(), repeated.digest));
+                && !(r.kind().equals(repeated.kind) && Arrays.equals(r.digest(), repeated.digest));
+    }
+
+    /** Whether a run was ordered for the request that this token, perhaps null, names, and no try of it may run again yet. */
+    boolean ran(String token) {
+        Kept kept = token == null ? null : byToken.get(token);
+        return kept != null && kept.ran;
     }
 
     /** Whether there is no room for one more token. */
--- a/src/main/java/tinroad/core/Request.java
+++ b/src/main/java/tinroad/core/Request.java
@@ -5,12 +5,17 @@
 import io.netty.buffer.Unpooled;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
+import tinroad.Controller.RequestClass;
+import tinroad.Controller.Semantics;
+import tinroad.catalog.Catalog;
 
 /** One request in hand: from its reading until it is answered and no run of it can end any more. */
 final class Request {
     final String id;
-    final int cls;
-    final String kind;
+    /** The class that it came under, whatever became of it since. */
+    final Catalog.Route route;
+    /** The place of its tenant. */
+    final int tenant;
     final double due;
     /** When it came to the machine, as it says itself. */
     final double arrivedAt;
@@ -31,18 +36,26 @@
     double reusedAt;
     private byte[] digest;
 
-    Request(Inbound in, int cls, double due, boolean keyed, boolean read, Requester requester) {
+    Request(Inbound in, Catalog.Route route, int tenant, double due, boolean keyed, Requester requester) {
         id = in.id();
-        this.cls = cls;
-        kind = in.kind();
+        this.route = route;
+        this.tenant = tenant;
         this.due = due;
         arrivedAt = in.arrivedAt();
-        key = read ? in.key() : null;
+        key = route.spec().semantics() == Semantics.FREE ? in.key() : null;
         token = keyed ? in.token() : null;
         this.requester = requester;
         body = in.body();
     }
 
+    String kind() {
+        return route.name();
+    }
+
+    RequestClass spec() {
+        return route.spec();
+    }
+
     /** Whether it was sent to run, or another try of it was: then no answer may say that nothing ran. */
     boolean mayHaveRun() {
         return progress != Progress.NOT_SENT || repeats != null && repeats.ran();
--- a/src/main/java/tinroad/recovery/Comeback.java
+++ b/src/main/java/tinroad/recovery/Comeback.java
@@ -21,7 +21,7 @@
     }
 
     private final int cores;
-    private final double usualRun;
+    private double usualRun;
     private final boolean distrusts;
     private Ramp ramp;
     private Phase phase = Phase.STARTING;
@@ -43,6 +43,11 @@
         since = now;
     }
 
+    /** What a run is expected to take by what is told now: an engine that is watched from now on is judged by it. */
+    public void usualRun(double ms) {
+        usualRun = ms;
+    }
+
     /** The engine is there; {@code started} is whether that is a start of it which this gateway has not seen yet. */
     public void engine(double now, boolean started) {
         if (phase == Phase.DRAINING || phase != Phase.STARTING && !started) {
--- a/src/test/java/tinroad/core/Harness.java
+++ b/src/test/java/tinroad/core/Harness.java
@@ -90,6 +90,15 @@
         now = end;
     }
 
+    /** Runs the next task, if one is due now. */
+    public boolean step() {
+        if (tasks.isEmpty() || tasks.peek().at() > now) {
+            return false;
+        }
+        tasks.poll().run().run();
+        return true;
+    }
+
     @Override public double now() {
         return now;
     }
@@ -118,6 +127,15 @@
         /** What the module heard, one line an event. */
         public final List<String> heard = new ArrayList<>();
         public Request last;
+        /** Entries of each part of a change that it was told of, and how often one came in force. */
+        public final List<Integer> staged = new ArrayList<>();
+        public int commits;
+        /** Classes and tenants by place, as they are in force by what it was told since its start; null: removed. */
+        public final Map<Integer, RequestClass> classes = new HashMap<>();
+        public final Map<Integer, Tenant> tenants = new HashMap<>();
+        private final List<Runnable> prepared = new ArrayList<>();
+        /** The next part of a change fails. */
+        public boolean failsToStage;
         /** What it was given of an earlier life: run times by class. */
         public final Map<String, Double> restored = new HashMap<>();
 
@@ -131,6 +149,29 @@
 
         @Override public void start(double now, long seed, Settings settings) {
             act.health(true, true);
+            for (int i = 0; i < settings.classes().size(); i++) {
+                classes.put(i, settings.classes().get(i));
+            }
+        }
+
+        @Override public void stage(List<ClassAt> parts, List<TenantAt> quotas) {
+            if (failsToStage) {
+                failsToStage = false;
+                throw new IllegalStateException("fails, as the test wants");
+            }
+            staged.add(parts.size() + quotas.size());
+            parts.forEach(c -> prepared.add(() -> classes.put(c.place(), c.spec())));
+            quotas.forEach(t -> prepared.add(() -> tenants.put(t.place(), t.spec())));
+        }
+
+        @Override public void commit(double now) {
+            commits++;
+            prepared.forEach(Runnable::run);
+            prepared.clear();
+        }
+
+        @Override public void unstage() {
+            prepared.clear();
         }
 
         @Override public void request(double now, Request request) {
