--- a/src/main/java/tinroad/config/Site.java
+++ b/src/main/java/tinroad/config/Site.java
@@ -5,4 +5,20 @@
 
 /** The settings as the module takes them, and the names behind its numbers: classes, tenants and gauges. */
 public record Site(Controller.Settings settings, List<String> classNames, List<String> tenantNames,
-        List<String> gaugeNames) { }
+        List<String> gaugeNames) {
+    /** The same site with its first classes and tenants alone, so many of each at most. */
+    public Site first(int most) {
+        if (classNames.size() <= most && tenantNames.size() <= most) {
+            return this;
+        }
+        Controller.Settings s = settings;
+        return new Site(new Controller.Settings(first(s.classes(), most), first(s.tenants(), most), s.goal(), s.rules(), s.below(), s.say(),
+                s.halt(), s.cores(), s.servers(), s.callers(), s.cold(), s.passesDeadline(), s.idle(), s.memoryKb(), s.runFactor(),
+                s.keyKb(), s.freshFor(), s.maxStayAway(), s.passesStayAway(), s.marksRetry(), s.overShareWorth(), s.step(),
+                s.worthByWork()), first(classNames, most), first(tenantNames, most), gaugeNames);
+    }
+
+    private static <T> List<T> first(List<T> all, int most) {
+        return List.copyOf(all.subList(0, Math.min(most, all.size())));
+    }
+}
--- a/src/main/java/tinroad/core/Gateway.java
+++ b/src/main/java/tinroad/core/Gateway.java
@@ -57,8 +57,8 @@
     private Catalog catalog;
     private double catalogSince;
     private final Reconfiguration reconfiguration;
-    private final Places classPlaces = new Places();
-    private final Places tenantPlaces = new Places();
+    private final PlacesInHand classPlaces = new PlacesInHand();
+    private final PlacesInHand tenantPlaces = new PlacesInHand();
     /** Names by place; of a class that came later, from its first request on. */
     private final List<String> classNames;
     /** What came in force before the module began, by place: it is told once it begins. */
@@ -235,11 +235,15 @@
             return name;
         }
         int place = Integer.parseInt(name.substring(dot + 1));
-        Catalog.Route route = place < classNames.size() && classNames.get(place) != null ? catalog.route(classNames.get(place)) : null;
+        String lasting = place < classNames.size() ? classNames.get(place) : null;
+        Catalog.Route route = lasting == null ? null : catalog.route(lasting);
         return route != null && route.place() == place ? name.substring(0, dot + 1) + route.name() : null;
     }
 
     private void restore(boolean cold) {
+        if (memory == Memory.NONE) {
+            return;
+        }
         recalled = memory.recall(learned(), clock.now());
         Map<String, Controller.Known> known = new LinkedHashMap<>();
         controller.learned().keySet().stream().filter(name -> recalled.containsKey(withClass(name)))
@@ -491,13 +495,14 @@
             comeback.engine(clock.now(), fresh);
             tell(() -> {
                 controller.start(clock.now(), seed, settings);
+                // First: a memory is of the classes that the module begins with.
+                restore(fresh);
                 if (!earlyClasses.isEmpty() || !earlyTenants.isEmpty()) {
                     controller.stage(List.copyOf(earlyClasses.values()), List.copyOf(earlyTenants.values()));
                     controller.commit(clock.now());
                     earlyClasses.clear();
                     earlyTenants.clear();
                 }
-                restore(fresh);
             });
             // Guards against a notice to leave that came before the engine: the module has to know it too.
             if (draining) {
--- a/src/main/java/tinroad/core/Places.java
+++ b/src/main/java/tinroad/core/PlacesInHand.java
@@ -10,7 +10,7 @@
  * against a place that is given anew while a request of the one before still goes by it. Its size is that of the highest place
  * that was named; a request costs two steps, whatever else there is.
  */
-final class Places {
+final class PlacesInHand {
     /** So long, in ms, after nothing names it the module may still know what this gateway has answered in its stead. */
     static final double GRACE = 2000;
     /** So many are told free at once. */
--- a/src/main/java/tinroad/model/ModelGateway.java
+++ b/src/main/java/tinroad/model/ModelGateway.java
@@ -99,7 +99,8 @@
         if (life == mine && gateway != null) {
             Map<String, Known> values = gateway.learned();
             if (!values.isEmpty()) {
-                folder = remembrance.leaves(gateway.now(), values, gateway.ranIds(), gateway.evacuated());
+                folder = remembrance.leaves(gateway.now(), values, gateway.ranIds(), gateway.evacuated(), gateway.catalog().epoch(),
+                        gateway.catalog().number());
             }
             model.at(model.now() + SAVES, () -> save(mine));
         }
--- a/src/main/java/tinroad/node/Rehearsal.java
+++ b/src/main/java/tinroad/node/Rehearsal.java
@@ -32,6 +32,8 @@
     /** So many steps of every hundred the engine ends nothing: a line forms in the hold. */
     private static final int REST = 8;
     private static final int CONNECTIONS = 8;
+    /** Of a large site it plays with so many classes and tenants: what the virtual machine sees does not grow with the rest. */
+    static final int SAMPLE = 64;
     private static final int CALL_EVERY = 10;
     private static final String CALL = "GET /api/telemetry HTTP/1.1\r\nHost: x\r\n\r\n";
     private static final String DONE = "{\"type\":\"DONE\",\"n\":%d,\"job\":\"%s\",\"state\":\"done\",\"took\":9.5,\"data\":\"%s\"}\n";
@@ -50,8 +52,8 @@
     private int answered;
     private int notices;
 
-    Rehearsal(Site site) {
-        this.site = site;
+    Rehearsal(Site whole) {
+        site = whole.first(SAMPLE);
         EngineLink link = new EngineLink(null, null, site.gaugeNames(), "", 0);
         Gateway gateway = new Gateway(site, 1, () -> now, (ms, task) -> timers.add(task), link,
                 OverloadController::new, NOPLogger.NOP_LOGGER);
--- a/src/main/java/tinroad/node/Remembering.java
+++ b/src/main/java/tinroad/node/Remembering.java
@@ -62,7 +62,8 @@
         Map<String, Known> values = gateway.learned();
         // Before its engine was there it knows nothing, and what an earlier life left stays.
         if (saver != null && !values.isEmpty()) {
-            saver.offer(remembrance.leaves(gateway.now(), values, gateway.ranIds(), gateway.evacuated()));
+            saver.offer(remembrance.leaves(gateway.now(), values, gateway.ranIds(), gateway.evacuated(),
+                    gateway.catalog().epoch(), gateway.catalog().number()));
         }
     }
 
--- a/src/main/java/tinroad/operator/Operator.java
+++ b/src/main/java/tinroad/operator/Operator.java
@@ -12,7 +12,12 @@
  * What the operators set beyond the platform's configuration, read and checked once. What a file leaves out has the
  * value that the schema gives as its default.
  */
-public record Operator(LogSettings log, StateSettings state, FleetSettings fleet) {
+public record Operator(LogSettings log, StateSettings state, FleetSettings fleet, CatalogSettings catalog) {
+
+    /** One that says nothing of the catalog. */
+    public Operator(LogSettings log, StateSettings state, FleetSettings fleet) {
+        this(log, state, fleet, CatalogSettings.DEFAULT);
+    }
 
     /** Reads the file; throws with all that is wrong in it. A folder that it names is beside it, unless it is absolute. */
     public static Operator read(Path file) throws OperatorException {
@@ -24,7 +29,12 @@
         return new Operator(new LogSettings(log.getString("format").equals("json"), log.getString("level"),
                 Map.copyOf(levels), log.getInt("queue"), ms(log, "flush")),
                 new StateSettings(folder(file, state, "folder"), folder(file, state, "fence"), ms(state, "every"),
-                        state.getInt("keep"), ms(state, "oldest"), ms(state, "half-life")), fleet(file, all.getConfig("fleet")));
+                        state.getInt("keep"), ms(state, "oldest"), ms(state, "half-life")), fleet(file, all.getConfig("fleet")),
+                catalog(file, all.getConfig("catalog")));
+    }
+
+    private static CatalogSettings catalog(Path file, Config catalog) {
+        return new CatalogSettings(catalog.getString("apply").equals("on-reload"), folder(file, catalog, "log"), ms(catalog, "poll"));
     }
 
     private static FleetSettings fleet(Path file, Config fleet) throws OperatorException {
--- a/src/main/java/tinroad/recovery/Memory.java
+++ b/src/main/java/tinroad/recovery/Memory.java
@@ -26,6 +26,16 @@
     /** Whether operators had the gateway taken off the list. */
     boolean evacuated();
 
+    /** Epoch of the catalog of classes and tenants that was in force; 0 where none was told. */
+    default long epoch() {
+        return 0;
+    }
+
+    /** Its version within the epoch. */
+    default long number() {
+        return 0;
+    }
+
     /** The number of this life; 0 where nothing lasts. */
     long life();
 
--- a/src/main/java/tinroad/recovery/Remembrance.java
+++ b/src/main/java/tinroad/recovery/Remembrance.java
@@ -79,6 +79,16 @@
         return before != null && before.evacuated();
     }
 
+    @Override
+    public long epoch() {
+        return before == null ? 0 : before.epoch();
+    }
+
+    @Override
+    public long number() {
+        return before == null ? 0 : before.number();
+    }
+
     @Override
     public long life() {
         return life;
@@ -89,9 +99,9 @@
         return begin.name().toLowerCase(Locale.ROOT);
     }
 
-    /** What this life leaves, as it stands now: learned values, ids that ran with their due times, operators' word. */
-    public Snapshot leaves(double now, Map<String, Known> values, Map<String, Double> ran, boolean evacuated) {
-        return new Snapshot(name, life, ++generation, now, evacuated, provenance.at(now, values), bounded(ran));
+    /** What this life leaves, as it stands now: learned values, ids that ran with their due times, operators' word, its catalog. */
+    public Snapshot leaves(double now, Map<String, Known> values, Map<String, Double> ran, boolean evacuated, long epoch, long number) {
+        return new Snapshot(name, life, ++generation, now, evacuated, provenance.at(now, values), bounded(ran), epoch, number);
     }
 
     /** Guards the size of what is saved: of too many ids, those due last stay dangerous longest. */
--- a/src/main/java/tinroad/state/Encoding.java
+++ b/src/main/java/tinroad/state/Encoding.java
@@ -44,6 +44,8 @@
             out.writeNumberField("generation", s.generation());
             out.writeNumberField("saved_at", s.savedAt());
             out.writeBooleanField("evacuated", s.evacuated());
+            out.writeNumberField("catalog_epoch", s.epoch());
+            out.writeNumberField("catalog_number", s.number());
             out.writeObjectFieldStart("values");
             for (Map.Entry<String, Remembered> e : s.values().entrySet()) {
                 out.writeFieldName(e.getKey());
@@ -116,6 +118,8 @@
         private long generation;
         private double savedAt = Double.NaN;
         private boolean evacuated;
+        private long epoch;
+        private long number;
 
         Fields(JsonParser in) {
             this.in = in;
@@ -134,6 +138,8 @@
                     case "generation" -> generation = in.getLongValue();
                     case "saved_at" -> savedAt = in.getDoubleValue();
                     case "evacuated" -> evacuated = in.getBooleanValue();
+                    case "catalog_epoch" -> epoch = in.getLongValue();
+                    case "catalog_number" -> number = in.getLongValue();
                     case "values" -> values();
                     case "ran" -> ran();
                     default -> in.skipChildren();
@@ -142,7 +148,7 @@
             if (name.isEmpty() || life < 1 || !Double.isFinite(savedAt)) {
                 throw new IllegalArgumentException("name, life or time is missing");
             }
-            return Reading.of(new Snapshot(name, life, generation, savedAt, evacuated, values, ran));
+            return Reading.of(new Snapshot(name, life, generation, savedAt, evacuated, values, ran, epoch, number));
         }
 
         private void values() throws IOException {
--- a/src/test/java/tinroad/operator/OperatorTest.java
+++ b/src/test/java/tinroad/operator/OperatorTest.java
@@ -43,6 +43,13 @@
         assertEquals(new StateSettings(dir.resolve("kept"), Path.of("/var/fence"), 5000, 3, 7_200_000, 600_000), o.state());
     }
 
+    @Test
+    void howTheCatalogChangesIsReadAndWithoutAFileItIsWhatTheDefaultsSay() throws Exception {
+        assertEquals(CatalogSettings.DEFAULT, Operator.read(file("log {}")).catalog());
+        assertEquals(new CatalogSettings(true, dir.resolve("changes"), 50),
+                Operator.read(file("catalog { apply = on-reload, log = changes, poll = 50ms }")).catalog());
+    }
+
     @Test
     void keysAreReadFromAFileOfTheirOwnAndItsFaultsToldByLine() throws Exception {
         Files.writeString(dir.resolve("keys"), "# new\nYW5vdGhlciBzaXh0ZWVuLg==\nc2l4dGVlbiBieXRlcy4uLg==\n");
--- a/src/test/java/tinroad/state/StateTest.java
+++ b/src/test/java/tinroad/state/StateTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.Arrays;
+import java.util.HexFormat;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -12,6 +13,7 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.Size;
 import org.junit.jupiter.api.Test;
+import tinroad.recovery.Remembrance;
 import tinroad.state.Reading.Why;
 import tinroad.state.Recall.Begin;
 import tinroad.state.Recall.Candidate;
@@ -40,6 +42,28 @@
         assertEquals(s, Encoding.read(Encoding.write(s)).snapshot());
     }
 
+    /** Written by the program that knew no catalog yet. */
+    private static final String OLDER = "74696e726f61642d737461746520310a00000091bf646e616d65626e33646c696665036a67656e65726174696f6e076873617665645f61"
+            + "74fb427a3185c500000069657661637561746564f56676616c756573bf7072756e2e6f726465722d7374617475739ffb40388000000000"
+            + "00fb4054000000000000fb427a3185c4ff600003ffff6372616ebf7039623166303361613563376532643431fb427a3185c5bb8000ffff"
+            + "fe63076b";
+
+    @Test
+    void aFileOfTheProgramBeforeIsReadAndTellsNoCatalog() {
+        assertEquals(snapshot(3, 7, NOW), Encoding.read(HexFormat.of().parseHex(OLDER)).snapshot());
+        assertEquals(0, snapshot(3, 7, NOW).epoch());
+    }
+
+    @Test
+    void theCatalogThatWasInForceIsRemembered() {
+        Snapshot s = new Snapshot("n3", 1, 1, NOW, false, Map.of(), Map.of(), 1L << 40, 24_000);
+        assertEquals(s, Encoding.read(Encoding.write(s)).snapshot());
+        Remembrance next = new Remembrance("n3", decide(0, file(s)), 2, OLDEST, 1000);
+        assertEquals(1L << 40, next.epoch());
+        assertEquals(24_000, next.number());
+        assertEquals(s.number() + 1, next.leaves(NOW, Map.of(), Map.of(), false, s.epoch(), s.number() + 1).number());
+    }
+
     @Test
     void aFileCutShortAtAnyByteIsDamaged() {
         byte[] whole = Encoding.write(snapshot(3, 7, NOW));
