--- a/src/main/java/tinroad/catalog/Catalog.java
+++ b/src/main/java/tinroad/catalog/Catalog.java
@@ -1,8 +1,7 @@
 package tinroad.catalog;
 
+import java.util.Collection;
 import java.util.List;
-import org.pcollections.HashTreePMap;
-import org.pcollections.PMap;
 import tinroad.Controller.RequestClass;
 import tinroad.Controller.Tenant;
 
@@ -10,16 +9,16 @@
 public final class Catalog {
     private final long epoch;
     private final long number;
-    private final PMap<String, Route> routes;
-    private final PMap<String, Account> tenants;
+    private final Table<RequestClass, Route> routes;
+    private final Table<Tenant, Account> tenants;
 
     /** A route: a class of requests, at the place by which the module knows it. */
-    public record Route(String name, int place, RequestClass spec) { }
+    public record Route(String name, int place, RequestClass spec) implements Entry<RequestClass> { }
 
     /** A tenant, at the place by which the module knows it. */
-    public record Account(String name, int place, Tenant spec) { }
+    public record Account(String name, int place, Tenant spec) implements Entry<Tenant> { }
 
-    Catalog(long epoch, long number, PMap<String, Route> routes, PMap<String, Account> tenants) {
+    Catalog(long epoch, long number, Table<RequestClass, Route> routes, Table<Tenant, Account> tenants) {
         this.epoch = epoch;
         this.number = number;
         this.routes = routes;
@@ -29,15 +28,12 @@
     /** The catalog of settings read whole: the places are those of the lists. */
     public static Catalog of(long epoch, long number, List<String> routeNames, List<RequestClass> specs, List<String> tenantNames,
             List<Tenant> quotas) {
-        PMap<String, Route> routes = HashTreePMap.empty();
-        for (int i = 0; i < specs.size(); i++) {
-            routes = routes.plus(routeNames.get(i), new Route(routeNames.get(i), i, specs.get(i)));
-        }
-        PMap<String, Account> tenants = HashTreePMap.empty();
-        for (int i = 0; i < quotas.size(); i++) {
-            tenants = tenants.plus(tenantNames.get(i), new Account(tenantNames.get(i), i, quotas.get(i)));
-        }
-        return new Catalog(epoch, number, routes, tenants);
+        return new Catalog(epoch, number, Table.of(Kind.ROUTES, routeNames, specs), Table.of(Kind.TENANTS, tenantNames, quotas));
+    }
+
+    /** The same content, known to be that of another version. */
+    public Catalog at(long otherEpoch, long otherNumber) {
+        return new Catalog(otherEpoch, otherNumber, routes, tenants);
     }
 
     /** The publisher's epoch. */
@@ -52,7 +48,18 @@
 
     /** What is in it, as a hash: two catalogs with the same routes and tenants, whatever their places, have the same one. */
     public String hash() {
-        return "";
+        return routes.hash().plus(tenants.hash()).toString();
+    }
+
+    /** The hash of what a change, which may not have been checked, would lead to. */
+    public String hashAfter(Change c) {
+        return routes.after(c.putRoutes(), c.removedRoutes()).plus(tenants.after(c.putTenants(), c.removedTenants())).toString();
+    }
+
+    /** Whether it holds already what a change leads to. */
+    boolean holds(Change c) {
+        return c.after() != null ? c.after().equals(hash())
+                : routes.has(c.putRoutes(), c.removedRoutes()) && tenants.has(c.putTenants(), c.removedTenants());
     }
 
     /** How many routes there are. */
@@ -75,11 +82,21 @@
         return tenants.get(name);
     }
 
-    PMap<String, Route> allRoutes() {
+    /** All routes, by name. */
+    public Collection<Route> allRoutes() {
+        return routes.entries().values();
+    }
+
+    /** All tenants, by name. */
+    public Collection<Account> allTenants() {
+        return tenants.entries().values();
+    }
+
+    Table<RequestClass, Route> routeTable() {
         return routes;
     }
 
-    PMap<String, Account> allTenants() {
+    Table<Tenant, Account> tenantTable() {
         return tenants;
     }
 }
--- a/src/main/java/tinroad/catalog/Editor.java
+++ b/src/main/java/tinroad/catalog/Editor.java
@@ -1,25 +1,27 @@
 package tinroad.catalog;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import org.pcollections.PMap;
+import java.util.Set;
+import java.util.function.BiConsumer;
+import org.pcollections.TreePMap;
 import tinroad.Controller.ClassAt;
 import tinroad.Controller.RequestClass;
 import tinroad.Controller.Tenant;
 import tinroad.Controller.TenantAt;
+import tinroad.config.Faults;
+import tinroad.config.SettingsCheck;
+import tinroad.config.Shared;
 
 /**
  * Makes one version of the catalog from the one before it, and gives out places. Used by one thread at a time, beside the
  * event loop. A place is given anew only after {@link #routeFree} or {@link #tenantFree}: the loop says so once nothing in hand names it.
  */
 public final class Editor {
+    private final Side<RequestClass, Catalog.Route> routes;
+    private final Side<Tenant, Catalog.Account> tenants;
     private Catalog current;
-    private final ArrayDeque<Integer> freeRoutes = new ArrayDeque<>();
-    private final ArrayDeque<Integer> freeTenants = new ArrayDeque<>();
-    private int nextRoute;
-    private int nextTenant;
 
     /** What became of a change. */
     public sealed interface Outcome {
@@ -37,13 +39,19 @@
 
         /** Versions before it are missing, from this number on. */
         record Gap(long missing) implements Outcome { }
+
+        /**
+         * It follows another content than the one that serves, or is another change under a number that was taken: two publish
+         * with one epoch, or the log and the settings file don't belong together. {@code known} is the hash of what serves.
+         */
+        record Diverged(String known) implements Outcome { }
     }
 
     /** Begins with a catalog whose places are all taken in turn, as {@link Catalog#of} leaves them. */
     public Editor(Catalog first) {
         current = first;
-        nextRoute = first.routes();
-        nextTenant = first.tenants();
+        routes = new Side<>(new Places(first.routeTable().places(), SettingsCheck.MOST_CLASSES));
+        tenants = new Side<>(new Places(first.tenantTable().places(), SettingsCheck.MOST_TENANTS));
     }
 
     /** The version that was made last. */
@@ -53,56 +61,114 @@
 
     /** Nothing in hand names this place any more. */
     public void routeFree(int place) {
-        freeRoutes.add(place);
+        routes.places.free(place);
     }
 
     /** The same of a tenant's place. */
     public void tenantFree(int place) {
-        freeTenants.add(place);
+        tenants.places.free(place);
     }
 
-    /** Takes a change, or says why not. */
+    /** Takes the change that comes next, or says why not. */
     public Outcome offer(Change c) {
+        if (c.epoch() == current.epoch() && c.number() > current.number() + 1) {
+            return new Outcome.Gap(current.number() + 1);
+        }
+        if (c.epoch() > current.epoch() && c.number() != 1) {
+            return new Outcome.Gap(1);
+        }
+        return offerWhole(c);
+    }
+
+    /**
+     * Takes a change that leads from the current version to a file read whole, as {@link Whole} makes it: it may leave out
+     * numbers, and begin a higher epoch with any.
+     */
+    public Outcome offerWhole(Change c) {
         if (c.epoch() < current.epoch()) {
             return new Outcome.Fenced(current.epoch());
         }
         if (c.epoch() == current.epoch() && c.number() <= current.number()) {
-            return new Outcome.Repeated();
+            return c.number() < current.number() || current.holds(c) ? new Outcome.Repeated() : new Outcome.Diverged(current.hash());
         }
-        if (c.epoch() == current.epoch() && c.number() > current.number() + 1) {
-            return new Outcome.Gap(current.number() + 1);
+        if (c.before() != null && !c.before().equals(current.hash())) {
+            return new Outcome.Diverged(current.hash());
         }
-        PMap<String, Catalog.Route> routes = current.allRoutes();
-        PMap<String, Catalog.Account> tenants = current.allTenants();
-        List<ClassAt> classes = new ArrayList<>();
-        List<TenantAt> quotas = new ArrayList<>();
-        for (String name : c.removedRoutes()) {
-            Catalog.Route gone = routes.get(name);
-            if (gone != null) {
-                routes = routes.minus(name);
-                classes.add(new ClassAt(gone.place(), null));
-            }
+        Faults faults = new Faults();
+        int classes = routes.check(current.routeTable(), c.putRoutes(), c.removedRoutes(), faults);
+        int orgs = tenants.check(current.tenantTable(), c.putTenants(), c.removedTenants(), faults);
+        SettingsCheck.counts(classes, orgs, faults);
+        if (classes == 0) {
+            faults.add("no class would be left");
+        }
+        String after = current.hashAfter(c);
+        if (faults.isEmpty() && c.after() != null && !c.after().equals(after)) {
+            faults.add("it leads to content " + after + ", and says " + c.after());
         }
-        for (Map.Entry<String, RequestClass> e : c.putRoutes().entrySet()) {
-            Catalog.Route there = routes.get(e.getKey());
-            int place = there != null ? there.place() : freeRoutes.isEmpty() ? nextRoute++ : freeRoutes.remove();
-            routes = routes.plus(e.getKey(), new Catalog.Route(e.getKey(), place, e.getValue()));
-            classes.add(new ClassAt(place, e.getValue()));
+        if (!faults.isEmpty()) {
+            return new Outcome.Refused(faults.lines());
         }
-        for (String name : c.removedTenants()) {
-            Catalog.Account gone = tenants.get(name);
-            if (gone != null) {
-                tenants = tenants.minus(name);
-                quotas.add(new TenantAt(gone.place(), null));
+        List<ClassAt> changedClasses = new ArrayList<>(c.putRoutes().size() + c.removedRoutes().size());
+        List<TenantAt> changedTenants = new ArrayList<>(c.putTenants().size() + c.removedTenants().size());
+        current = new Catalog(c.epoch(), c.number(),
+                routes.take(current.routeTable(), c.putRoutes(), c.removedRoutes(), (at, spec) -> changedClasses.add(new ClassAt(at, spec))),
+                tenants.take(current.tenantTable(), c.putTenants(), c.removedTenants(), (at, spec) -> changedTenants.add(new TenantAt(at, spec))));
+        return new Outcome.Taken(current, new Delta(changedClasses, changedTenants));
+    }
+
+    /** One of the two tables: its places, and the specs that it shares. */
+    private static final class Side<S, E extends Entry<S>> {
+        private final Places places;
+        private final Shared<S> specs = new Shared<>();
+
+        Side(Places places) {
+            this.places = places;
+        }
+
+        /** Tells what can't be meant; returns how many entries there would be. */
+        int check(Table<S, E> table, Map<String, S> put, Set<String> removed, Faults faults) {
+            String word = table.kind().word();
+            int gone = 0;
+            for (String name : removed) {
+                if (table.get(name) == null) {
+                    faults.add(word + " " + SettingsCheck.shown(name) + " can't be removed: there is none");
+                } else if (put.containsKey(name)) {
+                    faults.add(word + " " + SettingsCheck.shown(name) + " is both put and removed");
+                } else {
+                    gone++;
+                }
             }
+            int added = 0;
+            for (Map.Entry<String, S> e : put.entrySet()) {
+                SettingsCheck.name("put of " + word, -1, e.getKey(), false, faults);
+                table.kind().check(e.getKey(), e.getValue(), faults);
+                added += table.get(e.getKey()) == null ? 1 : 0;
+            }
+            if (added > places.room()) {
+                faults.add(word + ": no place for " + added + " new ones before what still runs under "
+                        + (places.waiting() + gone) + " removed ones has ended");
+            }
+            return table.size() - gone + added;
         }
-        for (Map.Entry<String, Tenant> e : c.putTenants().entrySet()) {
-            Catalog.Account there = tenants.get(e.getKey());
-            int place = there != null ? there.place() : freeTenants.isEmpty() ? nextTenant++ : freeTenants.remove();
-            tenants = tenants.plus(e.getKey(), new Catalog.Account(e.getKey(), place, e.getValue()));
-            quotas.add(new TenantAt(place, e.getValue()));
+
+        /** The next table; each change of a place is told. */
+        Table<S, E> take(Table<S, E> table, Map<String, S> put, Set<String> removed, BiConsumer<Integer, S> told) {
+            TreePMap<String, E> entries = table.entries();
+            for (String name : removed) {
+                int place = entries.get(name).place();
+                entries = entries.minus(name);
+                places.leave(place);
+                told.accept(place, null);
+            }
+            for (Map.Entry<String, S> e : put.entrySet()) {
+                E there = entries.get(e.getKey());
+                String name = there == null ? e.getKey() : there.name();
+                S spec = specs.of(e.getValue());
+                int place = there == null ? places.give() : there.place();
+                entries = entries.plus(name, table.kind().entry(name, place, spec));
+                told.accept(place, spec);
+            }
+            return new Table<>(table.kind(), entries, table.after(put, removed), table.places());
         }
-        current = new Catalog(c.epoch(), c.number(), routes, tenants);
-        return new Outcome.Taken(current, new Delta(classes, quotas));
     }
 }
--- /dev/null
+++ b/src/main/java/tinroad/catalog/Whole.java
@@ -0,0 +1,82 @@
+package tinroad.catalog;
+
+import java.util.BitSet;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import tinroad.Controller.RequestClass;
+import tinroad.Controller.Tenant;
+import tinroad.config.SiteVisitor;
+
+/**
+ * A settings file that comes in entry by entry, against the catalog that serves. Holds only what differs, and a bit for each
+ * entry that was seen again; what was not seen by the end is removed. Used once, by one thread.
+ */
+public final class Whole implements SiteVisitor {
+    private final Catalog base;
+    private final Seen<RequestClass, Catalog.Route> routes;
+    private final Seen<Tenant, Catalog.Account> tenants;
+
+    /** Against this catalog, which stays what it is. */
+    public Whole(Catalog base) {
+        this.base = base;
+        routes = new Seen<>(base.routeTable());
+        tenants = new Seen<>(base.tenantTable());
+    }
+
+    @Override
+    public boolean requestClass(String name, RequestClass spec) {
+        return routes.take(name, spec);
+    }
+
+    @Override
+    public boolean tenant(String name, Tenant spec) {
+        return tenants.take(name, spec);
+    }
+
+    /** What leads from the catalog to the file, as this version. */
+    public Change change(long epoch, long number) {
+        Change c = new Change(epoch, number, routes.put, routes.removed(), tenants.put, tenants.removed());
+        return new Change(epoch, number, c.putRoutes(), c.removedRoutes(), c.putTenants(), c.removedTenants(), base.hash(),
+                base.hashAfter(c));
+    }
+
+    /** One table of it. */
+    private static final class Seen<S, E extends Entry<S>> {
+        private final Table<S, E> table;
+        private final BitSet places = new BitSet();
+        private final Map<String, S> put = new HashMap<>();
+
+        Seen(Table<S, E> table) {
+            this.table = table;
+        }
+
+        boolean take(String name, S spec) {
+            E there = table.get(name);
+            if (there == null) {
+                return put.put(name, spec) == null;
+            }
+            if (places.get(there.place())) {
+                return false;
+            }
+            places.set(there.place());
+            if (!there.spec().equals(spec)) {
+                put.put(there.name(), spec);
+            }
+            return true;
+        }
+
+        Set<String> removed() {
+            Set<String> unseen = new HashSet<>();
+            if (places.cardinality() < table.size()) {
+                for (E e : table.entries().values()) {
+                    if (!places.get(e.place())) {
+                        unseen.add(e.name());
+                    }
+                }
+            }
+            return unseen;
+        }
+    }
+}
--- a/src/main/java/tinroad/config/GatewayConfig.java
+++ b/src/main/java/tinroad/config/GatewayConfig.java
@@ -8,13 +8,14 @@
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.core.StreamReadFeature;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.file.Files;
+import java.nio.channels.Channels;
+import java.nio.channels.FileChannel;
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
-import java.util.ArrayList;
-import java.util.List;
+import java.nio.file.StandardOpenOption;
 import java.util.stream.Collectors;
 
 /**
@@ -25,18 +26,26 @@
 public record GatewayConfig(String name, InetSocketAddress listen, InetSocketAddress control, InetSocketAddress engine,
         InetSocketAddress roster, long seed, double stopMs, int sockets, double memoryMb, Site site) {
 
-    private static final JsonFactory JSON = new JsonFactory();
+    private static final JsonFactory JSON = JsonFactory.builder().disable(StreamReadFeature.AUTO_CLOSE_SOURCE).build();
     private static final double DEFAULT_STOP_MS = 3000;
     private static final int DEFAULT_SOCKETS = 1024;
     private static final double DEFAULT_MEMORY_MB = 192;
 
     /** Reads the file that {@code GW_CONFIG} names; what is wrong with it is told in one plain line. */
     public static GatewayConfig read(Path file) throws ConfigException {
-        try (JsonParser in = JSON.createParser(Files.readAllBytes(file))) {
-            if (in.nextToken() != JsonToken.START_OBJECT) {
-                throw new ConfigException(file + ": not a JSON object");
-            }
-            return new Fields(in).read();
+        return read(file, null);
+    }
+
+    /**
+     * The same, and classes and tenants go to {@code visitor} as they come: the lists of {@link #site()} stay empty, and memory
+     * stays flat whatever the file's size. What the visitor took counts only if this returns.
+     */
+    public static GatewayConfig read(Path file, SiteVisitor visitor) throws ConfigException {
+        // One open file for both passes: another that takes its name meanwhile is not mixed in.
+        try (FileChannel bytes = FileChannel.open(file, StandardOpenOption.READ)) {
+            Fields fields = new Fields(file, visitor);
+            fields.pass(bytes);
+            return fields.config();
         } catch (NoSuchFileException e) {
             throw new ConfigException(file + ": no such file");
         } catch (JsonProcessingException e) {
@@ -64,7 +73,9 @@
 
     /** The fields as they come in. */
     private static final class Fields {
-        private final JsonParser in;
+        private final Path file;
+        private final SiteVisitor visitor;
+        private JsonParser in;
         private String name = "";
         private String listen = "";
         private String control = "";
@@ -74,25 +85,47 @@
         private double stopMs = DEFAULT_STOP_MS;
         private double sockets = DEFAULT_SOCKETS;
         private double memoryMb = DEFAULT_MEMORY_MB;
-        private Site site;
-        private final List<String> faults = new ArrayList<>();
+        private SiteReader settings;
+
+        Fields(Path file, SiteVisitor visitor) {
+            this.file = file;
+            this.visitor = visitor;
+        }
 
-        Fields(JsonParser in) {
-            this.in = in;
+        void pass(FileChannel bytes) throws IOException, ConfigException {
+            object(bytes, this::field);
+            if (settings != null && settings.classesWait()) {
+                object(bytes.position(0), field -> {
+                    if (field.equals("settings")) {
+                        settings.secondPass(in);
+                    }
+                });
+            }
+        }
+
+        private void object(FileChannel bytes, JsonFields.Visitor fields) throws IOException, ConfigException {
+            try (JsonParser parser = JSON.createParser(Channels.newInputStream(bytes))) {
+                in = parser;
+                if (in.nextToken() != JsonToken.START_OBJECT) {
+                    throw new ConfigException(file + ": not a JSON object");
+                }
+                each(in, fields);
+            }
         }
 
-        GatewayConfig read() throws IOException, ConfigException {
-            each(in, this::field);
+        GatewayConfig config() throws ConfigException {
             if (name.isEmpty() || name.matches(".*\\s.*")) {
                 throw new ConfigException("config: name is missing or holds blanks: '" + name + "'");
             }
-            if (site == null || site.classNames().isEmpty()) {
+            if (settings == null || settings.classes() == 0) {
                 throw new ConfigException("config: settings are missing or name no classes");
             }
             GatewayConfig config = new GatewayConfig(name, address("listen", listen), control.isEmpty() ? null : address("control", control),
-                    address("engine", engine), address("roster", roster), seedValue(), stopMs, (int) sockets, memoryMb, site);
+                    address("engine", engine), address("roster", roster), seedValue(), stopMs, (int) sockets, memoryMb, settings.site());
+            Faults faults = settings.faults(config.site);
             if (!faults.isEmpty()) {
-                throw new ConfigException(faults.stream().map(fault -> "config: settings: " + fault).collect(Collectors.joining("\n")));
+                throw new ConfigException(faults.lines().stream().map(fault -> "config: settings: " + fault)
+                        .collect(Collectors.joining("\n")));
             }
             return config;
         }
@@ -107,7 +140,10 @@
                 case "seed" -> seed = text(in);
                 case "stop_ms" -> stopMs = number(in, DEFAULT_STOP_MS);
                 case "limits" -> each(in, this::limit);
-                case "settings" -> site = SiteReader.read(in, faults);
+                case "settings" -> {
+                    settings = new SiteReader(visitor);
+                    settings.pass(in);
+                }
                 default -> { }
             }
         }
--- a/src/main/java/tinroad/config/SettingsCheck.java
+++ b/src/main/java/tinroad/config/SettingsCheck.java
@@ -1,87 +1,100 @@
 package tinroad.config;
 
-import java.util.ArrayList;
-import java.util.HashSet;
-import java.util.List;
-import java.util.Set;
 import tinroad.Controller;
 
 /**
- * What in the settings can't be meant: told before the start, a line each. Only what no site can have is a fault; a value that is
- * absent, or a name that is not known, is none.
+ * What in the settings can't be meant, a line each: of a file before the start, and of each entry that a change puts. Only what no
+ * site can have is a fault; a value that is absent, or a name that is not known, is none. Guards memory, too: tables have bounds.
  */
-final class SettingsCheck {
-    private final List<String> faults = new ArrayList<>();
+public final class SettingsCheck {
+    /** Classes of requests in one table. */
+    public static final int MOST_CLASSES = 65_536;
+    /** Tenants in one table. */
+    public static final int MOST_TENANTS = 131_072;
+    /** Bytes of a name in UTF-8. */
+    public static final int LONGEST_NAME = 4096;
+    private static final int SHOWN = 80;
 
     private SettingsCheck() { }
 
-    /** The faults of these settings, in their order; {@code named} tells words that were not understood. */
-    static List<String> faults(Site site, List<String> unknownWords) {
-        SettingsCheck check = new SettingsCheck();
-        check.faults.addAll(unknownWords);
-        check.all(site);
-        return check.faults;
+    /** The name of an entry that stands at {@code index} of {@code list}; below 0: of an entry that a change puts. */
+    public static void name(String list, int index, String name, boolean taken, Faults faults) {
+        if (!name.isEmpty() && name.length() <= LONGEST_NAME / 3 && !taken) {
+            return;
+        }
+        String where = index < 0 ? list : list + "[" + index + "]";
+        int bytes = bytes(name);
+        if (name.isEmpty()) {
+            faults.add(where + " has no name");
+        } else if (bytes > LONGEST_NAME) {
+            faults.add(where + ": the name " + shown(name) + " is longer than " + LONGEST_NAME + " bytes");
+        } else if (taken) {
+            faults.add(where + ": the name " + shown(name) + " is taken");
+        }
+    }
+
+    private static int bytes(String name) {
+        return name.codePoints().map(c -> c < 0x80 ? 1 : c < 0x800 ? 2 : c < 0x10000 ? 3 : 4).sum();
+    }
+
+    /** A name as lines for operators show it: a long one is cut. */
+    public static String shown(String name) {
+        return name.length() <= SHOWN ? name : name.substring(0, SHOWN) + "... (" + name.length() + " characters)";
     }
 
-    private void all(Site site) {
-        Controller.Settings s = site.settings();
-        names("classes", site.classNames());
-        names("orgs", site.tenantNames());
-        for (int i = 0; i < s.classes().size(); i++) {
-            Controller.RequestClass c = s.classes().get(i);
-            String where = "class " + site.classNames().get(i) + ": ";
-            above(where + "deadline", c.deadline(), 0);
-            least(where + "objective", c.aim(), 0);
-            least(where + "gain", c.worth(), 0);
-            within(where + "late_share", c.lateShare());
-            least(where + "key_ttl", c.keyWindow(), 0);
+    /** How many there are. */
+    public static void counts(int classes, int tenants, Faults faults) {
+        if (classes > MOST_CLASSES) {
+            faults.add("classes: " + classes + " are more than " + MOST_CLASSES);
         }
-        for (int i = 0; i < s.tenants().size(); i++) {
-            String where = "org " + site.tenantNames().get(i) + ": ";
-            least(where + "quota_per_s", s.tenants().get(i).quotaPerSecond(), 0);
-            within(where + "share", s.tenants().get(i).share());
+        if (tenants > MOST_TENANTS) {
+            faults.add("orgs: " + tenants + " are more than " + MOST_TENANTS);
         }
-        Controller.Rules r = s.rules();
-        least("rules: answer_slack", r.answerSlack(), 0);
-        within("rules: cold_from", r.coldFrom());
-        least("rules: ramp_time", r.rampTime(), 0);
-        least("rules: drain_grace", r.drainGrace(), 0);
-        least("rules: fall_multiple", r.crowdPerCore(), 1);
-        least("rules: fall", r.crowdSpan(), 0);
-        least("family_info: cores", s.cores(), 1);
-        least("family_info: memory_kb", s.memoryKb(), 0);
-        least("family_info: run_factor", s.runFactor(), 0);
-        least("family_info: idle", s.idle(), 0);
-        least("family_info: fresh_for", s.freshFor(), 0);
-        least("caps: max_retry_after", s.maxStayAway(), 0);
     }
 
-    private void names(String list, List<String> names) {
-        Set<String> seen = new HashSet<>();
-        for (int i = 0; i < names.size(); i++) {
-            if (names.get(i).isEmpty()) {
-                faults.add(list + "[" + i + "] has no name");
-            } else if (!seen.add(names.get(i))) {
-                faults.add(list + "[" + i + "]: the name " + names.get(i) + " is taken");
-            }
+    /** A class. */
+    public static void requestClass(String name, Controller.RequestClass c, Faults faults) {
+        if (!(c.deadline() > 0)) {
+            faults.add("class " + shown(name) + ": deadline has to be above 0, not " + plain(c.deadline()));
         }
+        least("class ", name, "objective", c.aim(), 0, faults);
+        least("class ", name, "gain", c.worth(), 0, faults);
+        within("class ", name, "late_share", c.lateShare(), faults);
+        least("class ", name, "key_ttl", c.keyWindow(), 0, faults);
     }
 
-    private void above(String what, double value, double bound) {
-        if (!(value > bound)) {
-            faults.add(what + " has to be above " + plain(bound) + ", not " + plain(value));
-        }
+    /** A tenant. */
+    public static void tenant(String name, Controller.Tenant t, Faults faults) {
+        least("org ", name, "quota_per_s", t.quotaPerSecond(), 0, faults);
+        within("org ", name, "share", t.share(), faults);
+    }
+
+    /** All but the classes and tenants. */
+    static void rest(Controller.Settings s, Faults faults) {
+        Controller.Rules r = s.rules();
+        least("", "rules", "answer_slack", r.answerSlack(), 0, faults);
+        within("", "rules", "cold_from", r.coldFrom(), faults);
+        least("", "rules", "ramp_time", r.rampTime(), 0, faults);
+        least("", "rules", "drain_grace", r.drainGrace(), 0, faults);
+        least("", "rules", "fall_multiple", r.crowdPerCore(), 1, faults);
+        least("", "rules", "fall", r.crowdSpan(), 0, faults);
+        least("", "family_info", "cores", s.cores(), 1, faults);
+        least("", "family_info", "memory_kb", s.memoryKb(), 0, faults);
+        least("", "family_info", "run_factor", s.runFactor(), 0, faults);
+        least("", "family_info", "idle", s.idle(), 0, faults);
+        least("", "family_info", "fresh_for", s.freshFor(), 0, faults);
+        least("", "caps", "max_retry_after", s.maxStayAway(), 0, faults);
     }
 
-    private void least(String what, double value, double bound) {
+    private static void least(String kind, String name, String field, double value, double bound, Faults faults) {
         if (!(value >= bound)) {
-            faults.add(what + " has to be " + plain(bound) + " at least, not " + plain(value));
+            faults.add(kind + shown(name) + ": " + field + " has to be " + plain(bound) + " at least, not " + plain(value));
         }
     }
 
-    private void within(String what, double value) {
+    private static void within(String kind, String name, String field, double value, Faults faults) {
         if (!(value >= 0 && value <= 1)) {
-            faults.add(what + " has to be from 0 to 1, not " + plain(value));
+            faults.add(kind + shown(name) + ": " + field + " has to be from 0 to 1, not " + plain(value));
         }
     }
 
--- a/src/main/java/tinroad/config/SiteReader.java
+++ b/src/main/java/tinroad/config/SiteReader.java
@@ -14,22 +14,34 @@
 import tinroad.Controller.Semantics;
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 
 /**
  * Reads 'the settings', the object that the simulator's first message and a gateway's configuration share.
- * Unknown names are skipped, absent ones take their neutral value.
+ * Unknown names are skipped, absent ones take their neutral value. Classes and tenants become lists, or go to a visitor one by
+ * one: then a class that comes before {@code family_info}, which says more of it, waits for a second pass over the file.
  */
 public final class SiteReader {
-    private final JsonParser in;
-    private final List<ClassFields> classes = new ArrayList<>();
+    private final SiteVisitor visitor;
+    private final Lists lists;
+    private final Shared<Controller.RequestClass> classSpecs = new Shared<>();
+    private final Shared<Controller.Tenant> tenantSpecs = new Shared<>();
     private final List<Boolean> classCalls = new ArrayList<>();
     private final List<Double> degradedWorth = new ArrayList<>();
-    private final List<Controller.Tenant> tenants = new ArrayList<>();
-    private final List<String> tenantNames = new ArrayList<>();
     private final List<String> gaugeNames = new ArrayList<>();
     /** Words that offer what this program doesn't know, as lines for the operators. */
-    private final List<String> unknown = new ArrayList<>();
+    private final Faults unknown = new Faults();
+    private final Faults classNameFaults = new Faults();
+    private final Faults tenantNameFaults = new Faults();
+    private final Faults classFaults = new Faults();
+    private final Faults tenantFaults = new Faults();
+    private JsonParser in;
+    private int classes;
+    private int tenants;
+    private boolean infoRead;
+    private boolean classesWait;
     private Controller.Goal goal = new Controller.Goal(0, 0, 0, 0);
     private Controller.Rules rules = new Controller.Rules(0, 1, 0, 0, 1, 0);
     private Below below = Below.NONE;
@@ -55,21 +67,56 @@
     private double step;
     private boolean worthByWork;
 
-    private SiteReader(JsonParser in) {
-        this.in = in;
+    /** Its classes and tenants go to {@code visitor}, or null: into the lists of {@link #site()}. */
+    SiteReader(SiteVisitor visitor) {
+        lists = new Lists();
+        this.visitor = visitor == null ? lists : visitor;
     }
 
     /** Reads the object that the parser stands on. */
     public static Site read(JsonParser in) throws IOException {
-        return new SiteReader(in).read();
+        SiteReader reader = new SiteReader(null);
+        reader.pass(in);
+        return reader.site();
     }
 
-    /** The same, and what of it can't be meant, a line each. */
-    static Site read(JsonParser in, List<String> faults) throws IOException {
-        SiteReader reader = new SiteReader(in);
-        Site site = reader.read();
-        faults.addAll(SettingsCheck.faults(site, reader.unknown));
-        return site;
+    /** Reads all but classes that can't be told yet. */
+    void pass(JsonParser parser) throws IOException {
+        in = parser;
+        each(in, this::setting);
+    }
+
+    /** Whether {@link #secondPass} has to follow. */
+    boolean classesWait() {
+        return classesWait;
+    }
+
+    /** Reads the classes that were passed over. */
+    void secondPass(JsonParser parser) throws IOException {
+        in = parser;
+        each(in, name -> {
+            if (name.equals("classes")) {
+                items(in, i -> requestClass());
+            }
+        });
+    }
+
+    /** How many classes there are. */
+    int classes() {
+        return classes;
+    }
+
+    /** What of it can't be meant, in the order of the settings' parts. */
+    Faults faults(Site site) {
+        Faults all = new Faults();
+        all.addAll(unknown);
+        all.addAll(classNameFaults);
+        all.addAll(tenantNameFaults);
+        SettingsCheck.counts(classes, tenants, all);
+        all.addAll(classFaults);
+        all.addAll(tenantFaults);
+        SettingsCheck.rest(site.settings(), all);
+        return all;
     }
 
     /** What {@code none} stands for; any other word is one that this program doesn't know. */
@@ -80,30 +127,47 @@
         return none;
     }
 
-    private Site read() throws IOException {
-        each(in, this::setting);
-        List<Controller.RequestClass> requestClasses = new ArrayList<>();
-        for (ClassFields c : classes) {
-            int i = requestClasses.size();
-            requestClasses.add(new Controller.RequestClass(c.aim, c.aimStretch, c.deadline, c.worth, c.lateShare,
-                    c.semantics, c.keyWindow, i < classCalls.size() && classCalls.get(i),
-                    i < degradedWorth.size() ? degradedWorth.get(i) : 0));
+    private boolean calls(int index) {
+        return index < classCalls.size() && classCalls.get(index);
+    }
+
+    private double skipWorth(int index) {
+        return index < degradedWorth.size() ? degradedWorth.get(index) : 0;
+    }
+
+    /** What was read; without classes and tenants where a visitor took them. */
+    Site site() {
+        for (int i = 0; i < lists.classes.size(); i++) {
+            Controller.RequestClass c = lists.classes.get(i);
+            if (c.calls() != calls(i) || c.skipWorth() != skipWorth(i)) {
+                lists.classes.set(i, classSpecs.of(new Controller.RequestClass(c.aim(), c.aimStretch(), c.deadline(), c.worth(),
+                        c.lateShare(), c.semantics(), c.keyWindow(), calls(i), skipWorth(i))));
+            }
         }
-        Controller.Settings settings = new Controller.Settings(requestClasses, tenants, goal, rules,
+        Controller.Settings settings = new Controller.Settings(List.copyOf(lists.classes), List.copyOf(lists.tenants), goal, rules,
                 new Controller.Dependency(below, callShare, callSpan, lingers), say, halt, (int) cores, (int) servers,
                 (int) callers, cold, passesDeadline, idle, memoryKb, runFactor, keyKb, freshFor, maxStayAway,
                 passesStayAway, marksRetry, overShareWorth, step, worthByWork);
-        return new Site(settings, classes.stream().map(c -> c.name).toList(), List.copyOf(tenantNames),
-                List.copyOf(gaugeNames));
+        return new Site(settings, List.copyOf(lists.classNames), List.copyOf(lists.tenantNames), List.copyOf(gaugeNames));
     }
 
     private void setting(String name) throws IOException {
         switch (name) {
-            case "classes" -> items(in, i -> requestClass());
+            case "classes" -> {
+                if (visitor == lists || infoRead) {
+                    items(in, i -> requestClass());
+                } else {
+                    // Skipped.
+                    classesWait = true;
+                }
+            }
             case "orgs" -> items(in, i -> tenant());
             case "goal" -> goal();
             case "rules" -> rules();
-            case "family_info" -> each(in, this::serverInfo);
+            case "family_info" -> {
+                each(in, this::serverInfo);
+                infoRead = true;
+            }
             case "caps" -> each(in, this::cap);
             case "clients" -> each(in, n -> marksRetry |= n.equals("marks_retry") && flag(in));
             case "servers" -> servers = number(in, 1);
@@ -161,7 +225,6 @@
 
     private void requestClass() throws IOException {
         ClassFields c = new ClassFields();
-        classes.add(c);
         each(in, name -> {
             switch (name) {
                 case "name" -> c.name = text(in);
@@ -183,6 +246,11 @@
                 default -> { }
             }
         });
+        int i = classes++;
+        Controller.RequestClass spec = classSpecs.of(new Controller.RequestClass(c.aim, c.aimStretch, c.deadline, c.worth, c.lateShare,
+                c.semantics, c.keyWindow, calls(i), skipWorth(i)));
+        SettingsCheck.name("classes", i, c.name, !visitor.requestClass(c.name, spec), classNameFaults);
+        SettingsCheck.requestClass(c.name, spec, classFaults);
     }
 
     private void tenant() throws IOException {
@@ -196,8 +264,9 @@
                 default -> { }
             }
         });
-        tenants.add(new Controller.Tenant(figures[0], figures[1]));
-        tenantNames.add(label[0]);
+        Controller.Tenant spec = tenantSpecs.of(new Controller.Tenant(figures[0], figures[1]));
+        SettingsCheck.name("orgs", tenants++, label[0], !visitor.tenant(label[0], spec), tenantNameFaults);
+        SettingsCheck.tenant(label[0], spec, tenantFaults);
     }
 
     private void goal() throws IOException {
@@ -230,6 +299,30 @@
         rules = new Controller.Rules(r[0], r[1], r[2], r[3], r[4], r[5]);
     }
 
+    /** Whole tables, for who needs them. */
+    private static final class Lists implements SiteVisitor {
+        private final List<Controller.RequestClass> classes = new ArrayList<>();
+        private final List<Controller.Tenant> tenants = new ArrayList<>();
+        private final List<String> classNames = new ArrayList<>();
+        private final List<String> tenantNames = new ArrayList<>();
+        private final Set<String> takenClasses = new HashSet<>();
+        private final Set<String> takenTenants = new HashSet<>();
+
+        @Override
+        public boolean requestClass(String name, Controller.RequestClass spec) {
+            classes.add(spec);
+            classNames.add(name);
+            return takenClasses.add(name);
+        }
+
+        @Override
+        public boolean tenant(String name, Controller.Tenant spec) {
+            tenants.add(spec);
+            tenantNames.add(name);
+            return takenTenants.add(name);
+        }
+    }
+
     /** A class while its fields come in, in any order. */
     private static final class ClassFields {
         private String name = "";
--- /dev/null
+++ b/src/test/java/tinroad/catalog/CatalogTest.java
@@ -0,0 +1,265 @@
+package tinroad.catalog;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertSame;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+import tinroad.Controller.RequestClass;
+import tinroad.Controller.Semantics;
+import tinroad.Controller.Tenant;
+import tinroad.catalog.Editor.Outcome;
+import tinroad.config.Faults;
+import tinroad.config.SettingsCheck;
+
+/** What becomes of changes: in any order, with repeats, gaps and crashes, and of batches that can't be meant. */
+class CatalogTest {
+    static RequestClass due(double deadline) {
+        return new RequestClass(0, 0, deadline, 1, 0, Semantics.FREE, 0, false, 0);
+    }
+
+    static Catalog of(long epoch, long number, Map<String, RequestClass> routes, Map<String, Tenant> tenants) {
+        return Catalog.of(epoch, number, List.copyOf(routes.keySet()), List.copyOf(routes.values()), List.copyOf(tenants.keySet()),
+                List.copyOf(tenants.values()));
+    }
+
+    private final Editor editor = new Editor(of(1, 5, Map.of("a", due(10)), Map.of("t", new Tenant(3, 1))));
+
+    private static Change put(long epoch, long number, Map<String, RequestClass> routes) {
+        return new Change(epoch, number, routes, Set.of(), Map.of(), Set.of());
+    }
+
+    private static Change remove(long number, String... routes) {
+        return new Change(1, number, Map.of(), Set.of(routes), Map.of(), Set.of());
+    }
+
+    private void refused(String fault, Change c) {
+        Catalog before = editor.current();
+        assertEquals(new Outcome.Refused(List.of(fault)), editor.offer(c));
+        assertSame(before, editor.current());
+    }
+
+    @Test
+    void epochsAreFencedGapsAreSeenAndRepeatsDoNothing() {
+        assertEquals(new Outcome.Fenced(1), editor.offer(put(0, 6, Map.of("b", due(1)))));
+        assertEquals(new Outcome.Gap(6), editor.offer(put(1, 7, Map.of("b", due(1)))));
+        assertEquals(new Outcome.Gap(1), editor.offer(put(2, 2, Map.of("b", due(1)))));
+        assertInstanceOf(Outcome.Taken.class, editor.offer(put(1, 6, Map.of("b", due(1)))));
+        assertEquals(new Outcome.Repeated(), editor.offer(put(1, 6, Map.of("b", due(1)))));
+        assertEquals(new Outcome.Repeated(), editor.offer(put(1, 5, Map.of("b", due(7)))));
+        assertInstanceOf(Outcome.Taken.class, editor.offer(put(2, 1, Map.of("b", due(2)))));
+        assertEquals(new Outcome.Fenced(2), editor.offer(put(1, 7, Map.of("b", due(1)))));
+        assertEquals(2, editor.current().epoch());
+    }
+
+    @Test
+    void twoPublishersWithOneEpochAreTold() {
+        String before = editor.current().hash();
+        editor.offer(put(1, 6, Map.of("b", due(1))));
+        String now = editor.current().hash();
+        // Another change under the same number, whether it tells what it leads to or not.
+        assertEquals(new Outcome.Diverged(now), editor.offer(put(1, 6, Map.of("b", due(2)))));
+        assertEquals(new Outcome.Diverged(now), editor.offer(remove(6, "b")));
+        assertEquals(new Outcome.Diverged(now), editor.offer(
+                new Change(1, 6, Map.of(), Set.of(), Map.of(), Set.of(), before, "0".repeat(32))));
+        // Or one that goes on from what the other one wrote.
+        assertEquals(new Outcome.Diverged(now), editor.offer(
+                new Change(1, 7, Map.of("c", due(1)), Set.of(), Map.of(), Set.of(), before, null)));
+        Change next = new Change(1, 7, Map.of("c", due(1)), Set.of(), Map.of(), Set.of(), now, before);
+        refused("it leads to content " + editor.current().hashAfter(next) + ", and says " + before, next);
+    }
+
+    @Test
+    void whatCanNotBeMeantIsRefusedWholeALineForEachFault() {
+        refused("class b can't be removed: there is none", remove(6, "b"));
+        refused("no class would be left", remove(6, "a"));
+        refused("class a is both put and removed", new Change(1, 6, Map.of("a", due(2)), Set.of("a"), Map.of(), Set.of()));
+        refused("put of class has no name", put(1, 6, Map.of("", due(2))));
+        refused("org t: share has to be from 0 to 1, not 2",
+                new Change(1, 6, Map.of(), Set.of(), Map.of("t", new Tenant(1, 2)), Set.of()));
+        String longest = "\u20ac".repeat(SettingsCheck.LONGEST_NAME / 3);
+        refused("put of class: the name " + longest.substring(0, 80) + "... (1367 characters) is longer than 4096 bytes",
+                put(1, 6, Map.of(longest + "xx", due(2))));
+        assertInstanceOf(Outcome.Taken.class, editor.offer(put(1, 6, Map.of(longest + "x", due(2), "x", due(3)))));
+        assertEquals(3, editor.current().routes());
+    }
+
+    @Test
+    void oneFaultInTenThousandEntriesRefusesAllAndManyFaultsAreCounted() {
+        Map<String, Tenant> quotas = new HashMap<>();
+        for (int i = 0; i < 10_000; i++) {
+            quotas.put("t" + i, new Tenant(i, i == 7007 ? -1 : 0.5));
+        }
+        refused("org t7007: share has to be from 0 to 1, not -1", new Change(1, 6, Map.of(), Set.of(), quotas, Set.of()));
+        quotas.replaceAll((name, t) -> new Tenant(-1, 0));
+        List<String> faults = ((Outcome.Refused) editor.offer(new Change(1, 6, Map.of(), Set.of(), quotas, Set.of()))).faults();
+        assertEquals(Faults.TOLD + 1, faults.size());
+        assertEquals("and 9900 more", faults.get(Faults.TOLD));
+        quotas.replaceAll((name, t) -> new Tenant(1, 0));
+        assertInstanceOf(Outcome.Taken.class, editor.offer(new Change(1, 6, Map.of(), Set.of(), quotas, Set.of())));
+    }
+
+    @Test
+    void tablesHaveBounds() {
+        Map<String, RequestClass> many = new HashMap<>();
+        for (int i = 0; i < SettingsCheck.MOST_CLASSES; i++) {
+            many.put("r" + i, due(1));
+        }
+        List<String> faults = ((Outcome.Refused) editor.offer(put(1, 6, many))).faults();
+        assertTrue(faults.contains("classes: 65537 are more than 65536"), faults::toString);
+        many.remove("r0");
+        assertInstanceOf(Outcome.Taken.class, editor.offer(put(1, 6, many)));
+        // Full: one more place there is only after one that was left is free.
+        editor.offer(remove(7, "r1"));
+        refused("class: no place for 1 new ones before what still runs under 1 removed ones has ended", put(1, 8, Map.of("x", due(1))));
+        editor.routeFree(0);
+        refused("class: no place for 1 new ones before what still runs under 1 removed ones has ended", put(1, 8, Map.of("x", due(1))));
+        for (int place = 0; place <= SettingsCheck.MOST_CLASSES; place++) {
+            editor.routeFree(place);
+        }
+        assertInstanceOf(Outcome.Taken.class, editor.offer(put(1, 8, Map.of("x", due(1)))));
+    }
+
+    @Test
+    void equalSpecsAndNamesAreShared() {
+        editor.offer(put(1, 6, Map.of("b", due(1), "c", due(1))));
+        assertSame(editor.current().route("b").spec(), editor.current().route("c").spec());
+        String name = editor.current().route("b").name();
+        editor.offer(put(1, 7, Map.of(new String("b"), due(4))));
+        assertSame(name, editor.current().route("b").name());
+    }
+
+    @Test
+    void aWholeFileLeadsToItsContentAndHoldsOnlyWhatDiffers() {
+        Map<String, RequestClass> routes = new HashMap<>(Map.of("a", due(10)));
+        for (int i = 0; i < 1000; i++) {
+            routes.put("r" + i, due(i + 1));
+        }
+        editor.offer(put(1, 6, routes));
+        Whole same = new Whole(editor.current());
+        routes.forEach(same::requestClass);
+        assertTrue(same.tenant("t", new Tenant(3, 1)));
+        assertEquals(0, same.change(1, 7).size());
+        assertEquals(editor.current().hash(), same.change(1, 7).after());
+
+        routes.remove("r3");
+        routes.put("r4", due(9999));
+        routes.put("new", due(1));
+        Whole other = new Whole(editor.current());
+        routes.forEach((name, spec) -> assertTrue(other.requestClass(name, spec)));
+        assertEquals(false, other.requestClass("new", due(1)));
+        assertEquals(false, other.requestClass("r5", due(6)));
+        Change c = other.change(1, 7);
+        assertEquals(new Change(1, 7, Map.of("r4", due(9999), "new", due(1)), Set.of("r3"), Map.of(), Set.of("t"),
+                editor.current().hash(), of(0, 0, routes, Map.of()).hash()), c);
+        // It stands for a version far ahead.
+        Change ahead = other.change(3, 40);
+        assertEquals(new Outcome.Gap(1), editor.offer(ahead));
+        assertInstanceOf(Outcome.Taken.class, editor.offerWhole(ahead));
+        assertEquals(new Outcome.Repeated(), editor.offerWhole(ahead));
+        assertEquals(ahead.after(), editor.current().hash());
+        assertEquals(List.of(3L, 40L), List.of(editor.current().epoch(), editor.current().number()));
+        assertEquals(new Outcome.Fenced(3), editor.offerWhole(c));
+    }
+
+    @Test
+    void theHashTellsEveryPartAndNoOrder() {
+        RequestClass c = new RequestClass(1, 2, 3, 4, 0.5, Semantics.FREE, 6, false, 7);
+        List<RequestClass> others = List.of(c, new RequestClass(9, 2, 3, 4, 0.5, Semantics.FREE, 6, false, 7),
+                new RequestClass(1, 9, 3, 4, 0.5, Semantics.FREE, 6, false, 7), new RequestClass(1, 2, 9, 4, 0.5, Semantics.FREE, 6, false, 7),
+                new RequestClass(1, 2, 3, 9, 0.5, Semantics.FREE, 6, false, 7), new RequestClass(1, 2, 3, 4, 0.9, Semantics.FREE, 6, false, 7),
+                new RequestClass(1, 2, 3, 4, 0.5, Semantics.GUARDED, 6, false, 7), new RequestClass(1, 2, 3, 4, 0.5, Semantics.FREE, 9, false, 7),
+                new RequestClass(1, 2, 3, 4, 0.5, Semantics.SINGLE_SHOT, 6, false, 7),
+                new RequestClass(1, 2, 3, 4, 0.5, Semantics.FREE, 6, true, 7), new RequestClass(1, 2, 3, 4, 0.5, Semantics.FREE, 6, false, 9));
+        Set<String> hashes = new HashSet<>();
+        others.forEach(spec -> hashes.add(of(0, 0, Map.of("a", spec), Map.of()).hash()));
+        assertEquals(others.size(), hashes.size());
+        assertEquals(Catalog.of(0, 0, List.of("a", "b"), List.of(c, due(1)), List.of(), List.of()).hash(),
+                Catalog.of(9, 9, List.of("b", "a"), List.of(due(1), c), List.of(), List.of()).hash());
+        assertNotEquals(of(0, 0, Map.of("a", c), Map.of("t", new Tenant(1, 0))).hash(),
+                of(0, 0, Map.of("a", c), Map.of("t", new Tenant(0, 1))).hash());
+        ContentHash most = new ContentHash(-1, -1);
+        ContentHash one = new ContentHash(0, 1);
+        assertEquals(ContentHash.EMPTY, most.plus(one));
+        assertEquals(most, ContentHash.EMPTY.minus(one));
+    }
+
+    /** Changes come late, early, twice, with faults; the process is started anew on a file: the end is that of the file read whole. */
+    @Property(tries = 300, seed = "30")
+    void anyOrderOfChangesRepeatsAndCrashesEndsInTheHashOfTheFile(@ForAll long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        Map<String, RequestClass> routes = new HashMap<>(Map.of("a", due(10)));
+        Map<String, Tenant> tenants = new HashMap<>();
+        List<Catalog> files = new ArrayList<>(List.of(of(1, 0, routes, tenants)));
+        List<Change> log = new ArrayList<>();
+        for (int n = 1; n <= 30; n++) {
+            Whole next = new Whole(files.get(n - 1));
+            for (int k = random.nextInt(6); k > 0; k--) {
+                String name = "n" + random.nextInt(12);
+                if (random.nextBoolean()) {
+                    routes.put(name, due(1 + random.nextInt(3)));
+                    tenants.put(name, new Tenant(random.nextInt(3), 0));
+                } else {
+                    routes.remove(name);
+                    tenants.remove(name);
+                }
+            }
+            routes.forEach(next::requestClass);
+            tenants.forEach(next::tenant);
+            Change c = next.change(1, n);
+            log.add(random.nextBoolean() ? c
+                    : new Change(1, n, c.putRoutes(), c.removedRoutes(), c.putTenants(), c.removedTenants()));
+            files.add(of(1, n, routes, tenants));
+        }
+        Editor e = new Editor(files.get(0));
+        Set<Integer> left = new HashSet<>();
+        while (e.current().number() < log.size()) {
+            int at = (int) e.current().number();
+            switch (random.nextInt(8)) {
+                // The process ends, and begins with the file of then.
+                case 0 -> {
+                    e = new Editor(files.get(at));
+                    left.clear();
+                }
+                case 1 -> {
+                    Editor same = e;
+                    left.forEach(same::routeFree);
+                    left.clear();
+                }
+                case 2 -> assertInstanceOf(Outcome.Refused.class,
+                        e.offer(new Change(1, at + 1, Map.of("bad", due(-1)), Set.of(), Map.of(), Set.of())));
+                default -> {
+                    Outcome o = e.offer(log.get(random.nextInt(Math.max(0, at - 3), Math.min(log.size(), at + 4))));
+                    if (o instanceof Outcome.Taken taken) {
+                        assertPlaces(taken, left);
+                    }
+                }
+            }
+            assertEquals(files.get((int) e.current().number()).hash(), e.current().hash());
+        }
+        assertEquals(of(0, 0, routes, tenants).hash(), e.current().hash());
+        for (Map.Entry<String, RequestClass> r : routes.entrySet()) {
+            assertEquals(r.getValue(), e.current().route(r.getKey()).spec());
+        }
+    }
+
+    /** No two entries at one place, and none at one that was left and is not free. */
+    private static void assertPlaces(Outcome.Taken taken, Set<Integer> left) {
+        Set<Integer> used = new HashSet<>();
+        taken.next().allRoutes().forEach(r -> assertTrue(used.add(r.place()), "place given twice"));
+        left.forEach(place -> assertTrue(!used.contains(place), "place given anew before it was free"));
+        taken.delta().classes().stream().filter(c -> c.spec() == null).forEach(c -> left.add(c.place()));
+        assertEquals(taken.next().routes(), used.size());
+    }
+}
--- a/src/test/java/tinroad/config/GatewayConfigTest.java
+++ b/src/test/java/tinroad/config/GatewayConfigTest.java
@@ -1,12 +1,17 @@
 package tinroad.config;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertSame;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import tinroad.Controller;
@@ -72,4 +77,74 @@
                 config: settings: rules: fall_multiple has to be 1 at least, not 0.5
                 config: settings: family_info: cores has to be 1 at least, not 0""", told);
     }
+
+    /** Notes what it is handed. */
+    private static final class Notes implements SiteVisitor {
+        private final Map<String, Controller.RequestClass> classes = new LinkedHashMap<>();
+        private final Map<String, Controller.Tenant> tenants = new LinkedHashMap<>();
+
+        @Override
+        public boolean requestClass(String name, Controller.RequestClass spec) {
+            return classes.put(name, spec) == null;
+        }
+
+        @Override
+        public boolean tenant(String name, Controller.Tenant spec) {
+            return tenants.put(name, spec) == null;
+        }
+    }
+
+    /** {@code family_info} says more of classes, by index; it may stand before them or after. */
+    @Test
+    void aVisitorIsHandedWhatTheListsHoldWhereverFamilyInfoStands(@TempDir Path dir) throws IOException, ConfigException {
+        String classes = TEXT.substring(TEXT.indexOf("\"classes\""), TEXT.indexOf("\"family_info\""));
+        String last = TEXT.replace(classes, "").replace("\"servers\":12", classes + "\"servers\":12");
+        for (String text : List.of(TEXT, last)) {
+            Path file = Files.writeString(dir.resolve("c.json"), text);
+            GatewayConfig whole = GatewayConfig.read(file);
+            Notes notes = new Notes();
+            GatewayConfig passed = GatewayConfig.read(file, notes);
+            assertEquals(whole.site().classNames(), List.copyOf(notes.classes.keySet()));
+            assertEquals(whole.site().settings().classes(), List.copyOf(notes.classes.values()));
+            assertEquals(new Controller.RequestClass(0, 0, 6000, 0, 0, Controller.Semantics.SINGLE_SHOT, 0, true, 0.5),
+                    notes.classes.get("order"));
+            assertEquals(whole.site().settings().tenants(), List.copyOf(notes.tenants.values()));
+            assertEquals(List.of(), passed.site().settings().classes());
+            assertEquals(whole.site().settings().rules(), passed.site().settings().rules());
+            assertEquals(whole.engine(), passed.engine());
+        }
+    }
+
+    @Test
+    void aVisitedFileIsCheckedAsAWholeOne(@TempDir Path dir) throws IOException {
+        String bad = TEXT.replace("\"deadline\":3700.0", "\"deadline\":0").replace("\"name\":\"order\"", "\"name\":\"read\"")
+                .replace("\"share\":0.5", "\"share\":-1").replace("\"cores\":6", "\"cores\":0");
+        for (String text : List.of(bad, "{\"name\":", "[]", "{}", TEXT.replace("}}\n", "}"))) {
+            Path file = Files.writeString(dir.resolve("c.json"), text);
+            assertEquals(assertThrows(ConfigException.class, () -> GatewayConfig.read(file)).getMessage(),
+                    assertThrows(ConfigException.class, () -> GatewayConfig.read(file, new Notes())).getMessage());
+        }
+    }
+
+    @Test
+    void aTableThatIsWrongThroughoutIsToldInAHundredLines(@TempDir Path dir) throws IOException {
+        String orgs = IntStream.range(0, 500).mapToObj(i -> "{\"name\":\"" + "n".repeat(i == 0 ? 5000 : 1) + i + "\",\"share\":7}")
+                .collect(Collectors.joining(","));
+        Path file = Files.writeString(dir.resolve("c.json"), TEXT.replace("{\"name\":\"acme\",\"quota_per_s\":89.0,\"share\":0.5}", orgs));
+        List<String> told = assertThrows(ConfigException.class, () -> GatewayConfig.read(file)).getMessage().lines().toList();
+        assertEquals(101, told.size());
+        assertEquals("config: settings: orgs[0]: the name " + "n".repeat(80) + "... (5001 characters) is longer than 4096 bytes", told.get(0));
+        assertEquals("config: settings: org n1: share has to be from 0 to 1, not 7", told.get(2));
+        assertEquals("config: settings: and 401 more", told.get(100));
+    }
+
+    @Test
+    void equalValuesAreSharedWithinBounds() {
+        Shared<String> pool = new Shared<>();
+        String first = new String("a");
+        assertSame(first, pool.of(first));
+        assertSame(first, pool.of(new String("a")));
+        IntStream.range(0, Shared.MOST).forEach(i -> pool.of("v" + i));
+        assertEquals("a", pool.of(new String("a")));
+    }
 }
