Have SIGHUP bring classes and tenants in force where the operator file says so

Need: after SIGHUP only two addresses counted. Change: a thread of its own reads the configuration entry by entry against the catalog, checks it as the file is checked, and has the gateway take what differs; off by default, as today. What can't change in place is told in one line. GET /api/settings and figures --of settings tell version, hash, lag and the last refusal.

--- a/src/main/java/tinroad/cli/FiguresCall.java
+++ b/src/main/java/tinroad/cli/FiguresCall.java
@@ -14,9 +14,18 @@
     private String control;
 
     /** What is wanted. */
-    enum What { ANSWERS, RECOVERY }
+    enum What {
+        ANSWERS("/api/telemetry"), RECOVERY("/api/recovery"), SETTINGS("/api/settings");
 
-    @Option(name = "--of", usage = "answers: what it has done so far; recovery: how it comes back, and what it remembers")
+        private final String path;
+
+        What(String path) {
+            this.path = path;
+        }
+    }
+
+    @Option(name = "--of", usage = "answers: what it has done so far; recovery: how it comes back, and what it remembers;"
+            + " settings: which classes and tenants are in force")
     private What what = What.ANSWERS;
 
     @Option(name = "--output", usage = "table or json")
@@ -31,9 +40,9 @@
 
     @Override
     int run(InputStream in, PrintStream out, PrintStream err) {
-        return Door.ask(control, what == What.ANSWERS ? "/api/telemetry" : "/api/recovery", "figures", err, figures -> {
-            if (what == What.RECOVERY && figures.path("phase").isTextual()) {
-                recovery(figures, out);
+        return Door.ask(control, what.path, "figures", err, figures -> {
+            if (figures.path(what == What.RECOVERY ? "phase" : "hash").isTextual()) {
+                values(figures, out);
             } else if (figures.path("success").isObject()) {
                 answers(figures, out);
             } else {
@@ -50,8 +59,8 @@
         output.print(List.of("class", "success", "busy", "failure"), rows, out);
     }
 
-    /** The phase and its reasons first, then each value of an earlier life that this one began with. */
-    private void recovery(JsonNode figures, PrintStream out) {
+    /** Each value by its name; of recovery, each value of an earlier life that this one began with comes last. */
+    private void values(JsonNode figures, PrintStream out) {
         List<List<Object>> rows = new ArrayList<>();
         figures.properties().forEach(f -> {
             if (f.getValue().isValueNode()) {
--- a/src/main/java/tinroad/cli/GatewayCommand.java
+++ b/src/main/java/tinroad/cli/GatewayCommand.java
@@ -7,6 +7,7 @@
 import org.kohsuke.args4j.Option;
 import tinroad.config.ConfigException;
 import tinroad.config.GatewayConfig;
+import tinroad.config.SiteVisitor;
 import tinroad.operator.Operator;
 import tinroad.operator.OperatorException;
 
@@ -24,7 +25,7 @@
     final int run(InputStream in, PrintStream out, PrintStream err) {
         try {
             Operator set = readOperator();
-            run(read(), set, out);
+            run(read(null), set, out);
             return FINE;
         } catch (OperatorException e) {
             e.faults().forEach(fault -> err.println("tinroad: " + fault));
@@ -42,13 +43,13 @@
     /** Does what the command is for; {@code operator} is null where no such file is named. */
     abstract void run(GatewayConfig config, Operator operator, PrintStream out) throws IOException, InterruptedException;
 
-    /** Reads the configuration, as it is now. */
-    final GatewayConfig read() throws ConfigException {
+    /** Reads the configuration, as it is now; its classes and tenants go to {@code visitor}, or into lists where that is null. */
+    final GatewayConfig read(SiteVisitor visitor) throws ConfigException {
         String path = file != null ? file : System.getenv(VARIABLE);
         if (path == null || path.isEmpty()) {
             throw new ConfigException("no configuration: give --config FILE or set " + VARIABLE);
         }
-        return GatewayConfig.read(Path.of(path));
+        return GatewayConfig.read(Path.of(path), visitor);
     }
 
     /** Reads the operator file, as it is now; null where none is named. */
--- a/src/main/java/tinroad/cli/Serve.java
+++ b/src/main/java/tinroad/cli/Serve.java
@@ -8,6 +8,7 @@
 import tinroad.config.ConfigException;
 import tinroad.config.GatewayConfig;
 import tinroad.node.Server;
+import tinroad.operator.CatalogSettings;
 import tinroad.operator.FleetSettings;
 import tinroad.operator.Operator;
 import tinroad.operator.OperatorException;
@@ -28,7 +29,8 @@
     void run(GatewayConfig config, Operator operator, PrintStream out) throws IOException, InterruptedException {
         LogSink sink = LogSink.of(operator);
         try (Server server = new Server(config, System.getenv("TMPDIR"),
-                operator == null ? StateSettings.NONE : operator.state(), operator == null ? FleetSettings.NONE : operator.fleet())) {
+                operator == null ? StateSettings.NONE : operator.state(), operator == null ? FleetSettings.NONE : operator.fleet(),
+                operator == null ? CatalogSettings.DEFAULT : operator.catalog())) {
             // Before anything can reach this process: a virtual machine that nobody handles the signals for ends on them.
             if (!leaveOnNotice(server, sink)) {
                 return;
@@ -41,7 +43,7 @@
             }
             server.rehearse();
             if (server.start() != null) {
-                server.awaitEnd(this::reread);
+                server.awaitEnd(this::read);
             }
         } finally {
             sink.end();
@@ -62,19 +64,10 @@
         }
     }
 
-    /** Guards against a signal that never reached this process: the configuration, read unasked; null if it can't be used. */
-    private synchronized GatewayConfig reread() {
-        try {
-            return read();
-        } catch (ConfigException e) {
-            return null;
-        }
-    }
-
     /** Guards against a file that is half written, gone or wrong: the gateway goes on with what it has of it. */
     private synchronized void reload(Server server, LogSink sink) {
         try {
-            server.reload(read());
+            server.reload(this::read);
         } catch (ConfigException e) {
             e.getMessage().lines().forEach(fault -> LOG.warn("configuration kept: {}", fault));
         }
--- a/src/main/java/tinroad/control/ControlCall.java
+++ b/src/main/java/tinroad/control/ControlCall.java
@@ -31,6 +31,7 @@
 import java.util.function.ToLongFunction;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import tinroad.catalog.Catalog;
 import tinroad.core.Figures;
 import tinroad.recovery.Memory;
 import tinroad.recovery.Comeback;
@@ -79,7 +80,7 @@
         }
         String path = new QueryStringDecoder(call.uri()).path();
         HttpMethod method = switch (path) {
-            case "/api/ready", "/api/telemetry", "/api/recovery", "/api/members" -> HttpMethod.GET;
+            case "/api/ready", "/api/telemetry", "/api/recovery", "/api/settings", "/api/members" -> HttpMethod.GET;
             case "/api/evacuate", "/api/rejoin" -> HttpMethod.POST;
             default -> null;
         };
@@ -96,6 +97,7 @@
                     : text(HttpResponseStatus.SERVICE_UNAVAILABLE, "not ready");
             case "/api/telemetry" -> figures();
             case "/api/recovery" -> recovery();
+            case "/api/settings" -> settings();
             case "/api/members" -> fleet.get() == null ? text(HttpResponseStatus.CONFLICT, "this gateway speaks with no others") : members();
             case "/api/evacuate" -> {
                 gateway.evacuate();
@@ -159,6 +161,22 @@
         });
     }
 
+    /** Which version of classes and tenants is in force, since when, and what came of later ones. */
+    private FullHttpResponse settings() {
+        Catalog c = gateway.catalog();
+        return object(json -> {
+            json.writeNumberField("epoch", c.epoch());
+            json.writeNumberField("number", c.number());
+            json.writeStringField("hash", c.hash());
+            json.writeNumberField("classes", c.routes());
+            json.writeNumberField("tenants", c.tenants());
+            json.writeNumberField("since_ms", Math.round(gateway.now() - gateway.catalogSince()));
+            json.writeNumberField("lag", gateway.catalogsWaiting());
+            json.writeStringField("refusal", gateway.lastRefusal());
+            number(json, "refused_ms", gateway.lastRefusal() == null ? Double.NaN : gateway.now() - gateway.refusedAt());
+        });
+    }
+
     /** Who is held to be there, in which stay, since when and by whose word; itself first. */
     private FullHttpResponse members() {
         return object(json -> {
--- a/src/main/java/tinroad/core/Gateway.java
+++ b/src/main/java/tinroad/core/Gateway.java
@@ -42,6 +42,8 @@
     static final double SAME_START = 1000;
     /** A time of arrival further off than this, in ms, or than any class waits, either way, is no time of arrival. */
     static final double FAR_OFF = 60_000;
+    /** Characters of a refusal that are kept for operators. */
+    static final int LONGEST_REFUSAL = 500;
     /** Part of its class's aim that a run is expected to take, by what is known before any has ended. */
     private static final double USUAL_RUN = 0.25;
     private static final Gauges NO_GAUGES = new Gauges(Double.NaN, Double.NaN, Double.NaN, Double.NaN);
@@ -56,6 +58,9 @@
     /** What requests are looked up in, swapped whole. */
     private Catalog catalog;
     private double catalogSince;
+    private int changesUntold;
+    private String refusal;
+    private double refusedAt;
     private final Reconfiguration reconfiguration;
     private final PlacesInHand classPlaces = new PlacesInHand();
     private final PlacesInHand tenantPlaces = new PlacesInHand();
@@ -296,9 +301,30 @@
         return catalogSince;
     }
 
-    /** How many later versions it was told of that are not in force yet. */
+    /** How many later versions are known that are not in force yet. */
     public int catalogsWaiting() {
-        return reconfiguration.waiting();
+        return reconfiguration.waiting() + changesUntold;
+    }
+
+    /** So many later versions are known whose change it was not told of yet. */
+    public void changesUntold(int versions) {
+        changesUntold = versions;
+    }
+
+    /** Later settings were refused, for this reason: what is in force stays. */
+    public void changeRefused(String reason) {
+        refusal = reason.length() <= LONGEST_REFUSAL ? reason : reason.substring(0, LONGEST_REFUSAL) + "...";
+        refusedAt = clock.now();
+    }
+
+    /** Why later settings were refused last; null where none ever were. */
+    public String lastRefusal() {
+        return refusal;
+    }
+
+    /** When, in Unix ms. */
+    public double refusedAt() {
+        return refusedAt;
     }
 
     // --- changes of classes and tenants ---
--- a/src/main/java/tinroad/node/Server.java
+++ b/src/main/java/tinroad/node/Server.java
@@ -1,6 +1,9 @@
 package tinroad.node;
 
 import tinroad.OverloadController;
+import tinroad.config.ConfigException;
+import tinroad.config.ConfigSource;
+import tinroad.config.Differences;
 import tinroad.config.GatewayConfig;
 import tinroad.control.ControlServer;
 import tinroad.core.Clock;
@@ -9,6 +12,7 @@
 import tinroad.fastcgi.FastCgiFront;
 import tinroad.log.Keys;
 import tinroad.gossip.Carrier;
+import tinroad.operator.CatalogSettings;
 import tinroad.operator.FleetSettings;
 import tinroad.operator.StateSettings;
 import tinroad.recovery.Rereads;
@@ -20,10 +24,11 @@
 import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
-import java.util.function.Supplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -59,6 +64,8 @@
     /** What lasts, or null where nothing does. */
     private final Remembering remembering;
     private final double saveEvery;
+    private final CatalogUpdates updates;
+    private final CatalogSettings catalogSettings;
     private final FleetSettings fleetSettings;
     /** What speaks with the other gateways, or null where nothing does. */
     private final Carrier fleet;
@@ -76,6 +83,12 @@
      * blocks for it.
      */
     public Server(GatewayConfig config, String directory, StateSettings state, FleetSettings fleetSettings) {
+        this(config, directory, state, fleetSettings, CatalogSettings.DEFAULT);
+    }
+
+    /** The same, with classes and tenants that change as {@code catalogSettings} say. */
+    public Server(GatewayConfig config, String directory, StateSettings state, FleetSettings fleetSettings,
+            CatalogSettings catalogSettings) {
         this.config = config;
         remembering = state.lasts() ? Remembering.open(state, config.name(), clock.now()) : null;
         saveEvery = state.every();
@@ -86,6 +99,8 @@
         gateway = new Gateway(config.site(), config.seed(), clock, this::after, engine, OverloadController::new,
                 LoggerFactory.getLogger("gateway"));
         front = new FastCgiFront(clock, gateway, config.sockets(), config.memoryMb());
+        updates = new CatalogUpdates(gateway, loop);
+        this.catalogSettings = catalogSettings;
         rereads = new Rereads(config.name(), config.seed());
         roster = new RosterReporter(loop, config.roster(), config.name(), config.seed());
         gateway.add(front);
@@ -182,8 +197,27 @@
         return bound;
     }
 
-    /** Goes on with the addresses of engine and roster in {@code next}; all else in it counts at the next start. */
-    public void reload(GatewayConfig next) {
+    /**
+     * Reads the configuration again and goes on with its addresses of engine and roster, and with its classes and tenants where
+     * these are to count at once; all else in it counts at the next start. Blocks while it reads.
+     */
+    public void reload(ConfigSource source) throws ConfigException {
+        goOnWith(reread(source));
+    }
+
+    private CatalogUpdates.Reread reread(ConfigSource source) throws ConfigException {
+        return catalogSettings.onReload() ? updates.apply(source) : updates.read(source);
+    }
+
+    private void goOnWith(CatalogUpdates.Reread reread) {
+        GatewayConfig next = reread.config();
+        List<String> later = new ArrayList<>(Differences.between(config, next));
+        if (!catalogSettings.onReload() && reread.change().size() > 0) {
+            later.add("settings.classes and settings.orgs: " + reread.change().size() + " differ");
+        }
+        if (!later.isEmpty()) {
+            LOG.info("counts at the next start: {}", String.join(", ", later));
+        }
         engineAt = next.engine();
         rosterAt = next.roster();
         loop.execute(() -> {
@@ -252,12 +286,12 @@
 
     /**
      * Blocks until the end. Meanwhile it looks whether another process shares what this gateway may hold, and, while the
-     * engine is gone, what the configuration says by now: {@code reread}, which may tell null.
+     * engine is gone, what the configuration says by now.
      */
-    public void awaitEnd(Supplier<GatewayConfig> reread) throws InterruptedException {
+    public void awaitEnd(ConfigSource source) throws InterruptedException {
         do {
             try {
-                watch(reread);
+                watch(source);
             } catch (RuntimeException e) {
                 // Guards the process: with this thread it would end, whatever it owes.
                 LOG.error("watch failed", e);
@@ -265,13 +299,18 @@
         } while (!ended.await(SHARE_MS, TimeUnit.MILLISECONDS));
     }
 
-    private void watch(Supplier<GatewayConfig> reread) {
+    private void watch(ConfigSource source) {
         share(succession.shared());
         if (rereads.due(clock.now(), engine.reached())) {
-            GatewayConfig next = reread.get();
-            if (next != null && !(next.engine().equals(engineAt) && next.roster().equals(rosterAt))) {
-                LOG.info("engine gone: the configuration has changed unheard");
-                reload(next);
+            try {
+                CatalogUpdates.Reread next = reread(source);
+                boolean moved = !(next.config().engine().equals(engineAt) && next.config().roster().equals(rosterAt));
+                if (moved || catalogSettings.onReload() && next.change().size() > 0) {
+                    LOG.info("engine gone: the configuration has changed unheard");
+                    goOnWith(next);
+                }
+            } catch (ConfigException e) {
+                // Told by whoever is told to read it; unasked, the gateway goes on with what it has.
             }
         }
     }
@@ -294,6 +333,7 @@
     @Override
     public void close() {
         keep();
+        updates.close();
         succession.close();
         group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
     }
--- a/src/test/java/tinroad/control/ControlServerTest.java
+++ b/src/test/java/tinroad/control/ControlServerTest.java
@@ -8,6 +8,7 @@
 import io.netty.channel.embedded.EmbeddedChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -15,6 +16,8 @@
 import org.junit.jupiter.api.Test;
 import tinroad.Controller.Known;
 import tinroad.Cuts;
+import tinroad.catalog.Change;
+import tinroad.catalog.Editor;
 import tinroad.core.Engine;
 import tinroad.core.Harness;
 import tinroad.core.Inbound;
@@ -86,6 +89,25 @@
                 + "\"failure\":{\"read\":1,\"order\":1},\"backend_calls\":3,\"inflight\":1}", call("GET /api/telemetry"));
     }
 
+    @Test
+    void settingsTellTheVersionInForceWhatWaitsAndTheLastRefusal() {
+        String hash = h.gateway.catalog().hash();
+        h.pass(250);
+        assertEquals("HTTP/1.1 200 OK\n{\"epoch\":0,\"number\":0,\"hash\":\"" + hash + "\",\"classes\":2,\"tenants\":1,\"since_ms\":250,"
+                + "\"lag\":0,\"refusal\":null,\"refused_ms\":null}", call("GET /api/settings"));
+        Editor editor = new Editor(h.gateway.catalog());
+        Editor.Outcome.Taken taken = (Editor.Outcome.Taken) editor.offer(new Change(0, 1, Map.of(), Set.of("order"), Map.of(), Set.of()));
+        h.gateway.change(taken.next(), taken.delta(), inForce -> { });
+        h.gateway.changeRefused("class \"x\": " + "y".repeat(1000));
+        assertTrue(call("GET /api/settings").contains("\"number\":0,\"hash\":\"" + hash + "\",\"classes\":2,\"tenants\":1,\"since_ms\":250,"
+                + "\"lag\":1,\"refusal\":\"class \\\"x\\\": yyy"));
+        h.pass(40);
+        String after = call("GET /api/settings");
+        assertTrue(after.contains("\"number\":1,\"hash\":\"" + taken.next().hash() + "\",\"classes\":1,\"tenants\":1,\"since_ms\":40,\"lag\":0,"), after);
+        assertTrue(after.endsWith("y...\",\"refused_ms\":40.0}"), after);
+        assertTrue(after.length() < 1000, after);
+    }
+
     @Test
     void recoveryTellsThePhaseAndWhatIsRememberedFromWhen() {
         h = new Harness(0);
--- a/src/test/java/tinroad/node/ServerTest.java
+++ b/src/test/java/tinroad/node/ServerTest.java
@@ -85,7 +85,7 @@
                 assertEquals("Status: 200 OK", check(address));
                 assertEquals("Status: 200 OK", checkThenGarbage(address));
                 server.leave();
-                server.awaitEnd(() -> null);
+                server.awaitEnd(visitor -> config(engine, roster));
                 assertThrows(IOException.class, () -> check(address));
             }
         }
