--- a/src/test/java/tinroad/cli/Crossing.java
+++ b/src/test/java/tinroad/cli/Crossing.java
@@ -125,14 +125,18 @@
                 assertTrue(job.find());
                 runs.add(job.group(1));
                 if (runsEnd) {
-                    done(job.group(1));
+                    done(on, job.group(1));
                 }
             }
         }
     }
 
-    synchronized void done(String job) throws IOException {
-        tell(link, "{\"type\":\"DONE\",\"n\":" + ++notices + ",\"job\":\"" + job
+    void done(String job) throws IOException {
+        done(link, job);
+    }
+
+    private synchronized void done(Socket on, String job) throws IOException {
+        tell(on, "{\"type\":\"DONE\",\"n\":" + ++notices + ",\"job\":\"" + job
                 + "\",\"state\":\"done\",\"took\":3,\"data\":\"b2s=\"}");
     }
 
