Fade and sum per sample in the module instead of walking all classes and tenants

Need: idle cost grew with the tables.

Change: rates carry their own time stamp and fade when read (FadingRates, ClassStats). What is summed over classes is kept with every sample by compensated sums (Classes, Sum); the faded ones drift by at most 1e-12 of their peak, tested against walks. The worst ratio and the lags are taken from the classes asked lately, once a change. Kept keys leave by their time (Expiring). A class that was never asked holds nothing. A request keeps the class, what is measured of it and the tenant that it came under. learned() tells what has samples or a memory; until the first request, change or memory still all, since a memory is looked up by those names. LearnedTest asks the new classes the same questions and two more; the test of bounded state also looks into the kept keys, which are no Map any more.

--- /dev/null
+++ b/src/main/java/tinroad/Classes.java
@@ -0,0 +1,308 @@
+package tinroad;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.BiConsumer;
+import java.util.stream.IntStream;
+import tinroad.Controller.ClassAt;
+import tinroad.Controller.RequestClass;
+
+/**
+ * The classes of requests by place, and what is summed over them, kept up with every sample: no event walks over all classes. A
+ * change is prepared in a version beside the one that counts, which hears of all samples meanwhile, and takes its place at once.
+ * Knows the time only from {@link #advance}, and nothing of what the sums are used for.
+ */
+final class Classes {
+    /** The specs of one version, and the sums over them. */
+    private static final class Version {
+        final Places<RequestClass> specs;
+        int size;
+        final Sum run;
+        final Sum calm;
+        final Sum asked;
+        final Sum worth;
+
+        Version() {
+            specs = new Places<>();
+            run = new Sum();
+            calm = new Sum();
+            asked = new Sum();
+            worth = new Sum();
+        }
+
+        Version(Version before) {
+            specs = before.specs.next();
+            size = before.size;
+            run = new Sum(before.run);
+            calm = new Sum(before.calm);
+            asked = new Sum(before.asked);
+            worth = new Sum(before.worth);
+        }
+
+        void fade(double part) {
+            asked.fade(part);
+            worth.fade(part);
+        }
+    }
+
+    private final Learned learned;
+    private final double span;
+    private final double lagSpan;
+    private final boolean worthByWork;
+    /** What is measured of them, where there is anything. */
+    private final Places<ClassStats> stats = new Places<>();
+    private final List<ClassStats> known = new ArrayList<>();
+    /** Nothing was asked, changed or restored yet. */
+    private boolean untouched = true;
+    private Version now = new Version();
+    private Version staged;
+    /** Staged places that had no class when something was learned there. */
+    private final List<Integer> anew = new ArrayList<>();
+    private double clock;
+    /** Classes asked often enough lately for their ratios to tell: at most as many as there were requests. */
+    private final List<ClassStats> telling = new ArrayList<>();
+    private double worst = 1;
+    private double lags;
+    private boolean stale = true;
+    /** When the first of them tells no more. */
+    private double quietAt;
+
+    /**
+     * @param span ms in which what was asked and served falls to its e-th part
+     * @param lagSpan a class served this much better than the worst shares nothing of its weight
+     * @param worthByWork a class's worth is for each ms of its run
+     */
+    Classes(List<RequestClass> specs, Learned learned, double span, double lagSpan, boolean worthByWork, double clock) {
+        this.learned = learned;
+        this.span = span;
+        this.lagSpan = lagSpan;
+        this.worthByWork = worthByWork;
+        this.clock = clock;
+        for (RequestClass c : specs) {
+            put(now, now.size, c, null);
+        }
+    }
+
+    /** Time passes. */
+    void advance(double to) {
+        double part = Math.exp((clock - to) / span);
+        clock = to;
+        now.fade(part);
+        if (staged != null) {
+            staged.fade(part);
+        }
+    }
+
+    /** The class at this place, or null. */
+    RequestClass at(int place) {
+        return now.specs.get(place);
+    }
+
+    /**
+     * What has samples or a memory of them. Until the first request, change or memory all, with what is assumed of them: that
+     * is what a memory may be of.
+     */
+    List<ClassStats> known() {
+        return untouched ? IntStream.range(0, now.specs.size()).mapToObj(learned::nothing).toList() : known;
+    }
+
+    /** How many there are. */
+    int size() {
+        return now.size;
+    }
+
+    /** What an answer of this class adds to what operators want, before any bonus. */
+    double worth(ClassStats s, RequestClass c) {
+        return c.worth() * (worthByWork ? learned.run(s, c) : 1);
+    }
+
+    /** Requests lately, over all classes. */
+    double asked() {
+        return now.asked.value();
+    }
+
+    /** What they would all have been worth. */
+    double worth() {
+        return now.worth.value();
+    }
+
+    /** Requests of this class lately. */
+    double asked(ClassStats s) {
+        s.fade(clock, span);
+        return s.asked;
+    }
+
+    /** Mean of the classes' run latencies over their calm baselines. */
+    double slowdown() {
+        double calm = now.calm.value();
+        return calm > 0 ? now.run.value() / calm : 1;
+    }
+
+    /** This class's part of the weight that those served worst share; nothing for one that was taken out. */
+    double lagShare(ClassStats s) {
+        if (!counts(s)) {
+            return 0;
+        }
+        refresh();
+        return lag(ratio(s)) / lags;
+    }
+
+    // --- samples ---
+
+    /** A request of the class at this place came. */
+    ClassStats ask(int place) {
+        ClassStats s = measured(place);
+        s.fade(clock, span);
+        addWhereCounted(s, -1);
+        s.asked++;
+        addWhereCounted(s, 1);
+        s.tellsUntil = clock + span * Math.log(s.asked);
+        if (!s.tells) {
+            s.tells = true;
+            telling.add(s);
+        }
+        stale = true;
+        return s;
+    }
+
+    /** One of them was served in time. */
+    void serve(ClassStats s) {
+        s.fade(clock, span);
+        s.served++;
+        stale = true;
+    }
+
+    /** What is measured of the class at this place changes. */
+    void change(int place, BiConsumer<ClassStats, RequestClass> how) {
+        change(measured(place), at(place), how);
+    }
+
+    /** The same of a request in hand, of the class that it came under. */
+    void change(ClassStats s, RequestClass c, BiConsumer<ClassStats, RequestClass> how) {
+        s.fade(clock, span);
+        addWhereCounted(s, -1);
+        how.accept(s, c);
+        addWhereCounted(s, 1);
+        if (!s.known) {
+            s.known = true;
+            known.add(s);
+        }
+    }
+
+    private ClassStats measured(int place) {
+        untouched = false;
+        if (stats.get(place) == null) {
+            stats.set(place, learned.nothing(place));
+        }
+        return stats.get(place);
+    }
+
+    private void addWhereCounted(ClassStats s, int sign) {
+        // What was staged anew at a place that counted nothing has nothing of this.
+        if (counts(s)) {
+            add(now, at(s.place), s, sign);
+            if (staged != null) {
+                add(staged, staged.specs.get(s.place), s, sign);
+            }
+        }
+    }
+
+    private boolean counts(ClassStats s) {
+        return at(s.place) != null && stats.get(s.place) == s;
+    }
+
+    private void add(Version v, RequestClass c, ClassStats s, int sign) {
+        if (c != null) {
+            v.run.add(sign * learned.run(s, c));
+            v.calm.add(sign * learned.calm(s, c));
+            if (s != null) {
+                v.asked.add(sign * s.asked);
+                v.worth.add(sign * s.asked * worth(s, c));
+            }
+        }
+    }
+
+    private void refresh() {
+        if (!stale && clock <= quietAt) {
+            return;
+        }
+        worst = 1;
+        quietAt = Double.MAX_VALUE;
+        for (int i = telling.size() - 1; i >= 0; i--) {
+            ClassStats s = telling.get(i);
+            if (s.tellsUntil < clock) {
+                s.tells = false;
+                telling.set(i, telling.get(telling.size() - 1));
+                telling.remove(telling.size() - 1);
+            } else {
+                worst = Math.min(worst, ratio(s));
+                quietAt = Math.min(quietAt, s.tellsUntil);
+            }
+        }
+        lags = (now.size - telling.size()) * lag(1);
+        for (ClassStats s : telling) {
+            lags += lag(ratio(s));
+        }
+        stale = false;
+    }
+
+    private double lag(double ratio) {
+        return Math.max(0, 1 - (ratio - worst) / lagSpan);
+    }
+
+    private double ratio(ClassStats s) {
+        return s.tellsUntil < clock ? 1 : Math.min(1, s.served / s.asked);
+    }
+
+    // --- changes ---
+
+    /** Prepares a part of a change. */
+    void stage(List<ClassAt> changes) {
+        untouched = false;
+        staged = staged == null ? new Version(now) : staged;
+        for (ClassAt change : changes) {
+            boolean before = at(change.place()) != null;
+            ClassStats s = stats.get(change.place());
+            if (!before && s != null) {
+                anew.add(change.place());
+            }
+            put(staged, change.place(), change.spec(), before ? s : null);
+        }
+    }
+
+    private void put(Version v, int place, RequestClass c, ClassStats s) {
+        if (s != null) {
+            s.fade(clock, span);
+        }
+        RequestClass before = v.specs.get(place);
+        add(v, before, s, -1);
+        v.specs.set(place, c);
+        add(v, c, s, 1);
+        v.size += (c == null ? 0 : 1) - (before == null ? 0 : 1);
+    }
+
+    /** What was prepared counts. */
+    void commit() {
+        if (staged != null) {
+            now = staged;
+            staged = null;
+            anew.removeIf(place -> at(place) == null);
+            anew.forEach(place -> stats.set(place, null));
+            known.removeIf(s -> !anew.isEmpty() && stats.get(s.place) != s);
+            anew.clear();
+            telling.removeIf(s -> !counts(s));
+            stale = true;
+        }
+    }
+
+    /** It does not. */
+    void unstage() {
+        staged = null;
+        anew.clear();
+    }
+
+    /** How often a place was read. */
+    long reads() {
+        return now.specs.reads() + stats.reads();
+    }
+}
--- a/src/main/java/tinroad/Learned.java
+++ b/src/main/java/tinroad/Learned.java
@@ -4,6 +4,9 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import tinroad.ClassStats.Patience;
+import tinroad.Controller.Known;
+import tinroad.Controller.RequestClass;
 
 /** What the module has learned of its classes and callers: all that may outlive the process. Times in ms. */
 final class Learned {
@@ -12,80 +15,82 @@
     /** So many waits are remembered for each class. */
     private static final int WAITS = 4;
 
-    /** What is measured of a class. */
-    static final class Of {
-        double run;
-        double calm;
-        double away;
-        double runs;
-        double calmRuns;
-        double asked;
-        double served;
-        final List<Patience> waits = new ArrayList<>();
-
-        Of(double first, double weight) {
-            run = first;
-            calm = first;
-            runs = weight;
-            calmRuns = weight;
-        }
+    /** Without samples a run is assumed to take this part of its class's aim, which weighs so many samples. */
+    private final double part;
+    private final double weight;
+    /** Part of the requests whose caller comes back while a calm server would keep its connection. */
+    double returning = 1;
 
-        /** A new wait displaces those that are seldom seen. */
-        void newWait(double wait) {
-            if (waits.size() < WAITS) {
-                waits.add(new Patience(wait));
-                return;
-            }
-            waits.forEach(p -> p.votes -= 1.0 / WAITS);
-            waits.removeIf(p -> p.votes <= 0);
-        }
+    /** Nothing yet. */
+    Learned(double part, double weight) {
+        this.part = part;
+        this.weight = weight;
     }
 
-    /** A wait that fresh tries of a class come with, and how sure that is. */
-    static final class Patience {
-        final double wait;
-        double votes = 1;
+    /** Nothing of the class at this place. */
+    ClassStats nothing(int place) {
+        return new ClassStats(place, weight);
+    }
 
-        Patience(double wait) {
-            this.wait = wait;
-        }
+    /** Expected run of this class; {@code s} null: nothing is measured. */
+    double run(ClassStats s, RequestClass c) {
+        return s == null || s.run == 0 ? part * c.aim() : s.run;
     }
 
-    final Of[] of;
-    /** Part of the requests whose caller comes back while a calm server would keep its connection. */
-    double returning = 1;
+    /** The same while calm. */
+    double calm(ClassStats s, RequestClass c) {
+        return s == null || s.calm == 0 ? part * c.aim() : s.calm;
+    }
 
-    /** Nothing yet: a run is assumed to take this part of its class's aim, which weighs so many samples. */
-    Learned(List<Controller.RequestClass> classes, double part, double weight) {
-        of = classes.stream().map(c -> new Of(part * c.aim(), weight)).toArray(Of[]::new);
+    /** A new wait displaces those that are seldom seen. */
+    static void newWait(ClassStats s, double wait) {
+        if (s.waits.size() < WAITS) {
+            s.waits = s.waits.isEmpty() ? new ArrayList<>(WAITS) : s.waits;
+            s.waits.add(new Patience(wait));
+            return;
+        }
+        s.waits.forEach(p -> p.votes -= 1.0 / WAITS);
+        s.waits.removeIf(p -> p.votes <= 0);
     }
 
     /** All of it by name, each with the samples behind it: {@code run.0} is of the class at 0. */
-    Map<String, Controller.Known> export() {
-        Map<String, Controller.Known> all = new LinkedHashMap<>();
-        for (int i = 0; i < of.length; i++) {
-            all.put("run." + i, new Controller.Known(of[i].run, of[i].runs));
-            all.put("calm." + i, new Controller.Known(of[i].calm, of[i].calmRuns));
+    Map<String, Known> export(Classes classes) {
+        Map<String, Known> all = new LinkedHashMap<>();
+        for (ClassStats s : classes.known()) {
+            RequestClass c = classes.at(s.place);
+            if (c != null || s.run > 0) {
+                all.put("run." + s.place, new Known(run(s, c), s.runs));
+            }
+            if (c != null || s.calm > 0) {
+                all.put("calm." + s.place, new Known(calm(s, c), s.calmRuns));
+            }
         }
-        all.put("returning", new Controller.Known(returning, UNCOUNTED));
+        all.put("returning", new Known(returning, UNCOUNTED));
         return all;
     }
 
     /** Begins with what an earlier life knew, on cores of this part of their speed. What no class can be is left out. */
-    void restore(Map<String, Controller.Known> known, double speed) {
-        for (int i = 0; i < of.length; i++) {
-            Controller.Known run = known.get("run." + i);
-            Controller.Known calm = known.get("calm." + i);
-            if (usable(run)) {
-                // Guards against another day's slowness: no more is expected than without any memory.
-                of[i].run = Math.min(of[i].run, (usable(calm) ? Math.min(run.value(), calm.value()) : run.value()) / speed);
+    void restore(Map<String, Known> known, double speed, Classes classes) {
+        for (String name : known.keySet()) {
+            int place = name.matches("(run|calm)[.][0-9]{1,8}") ? Integer.parseInt(name.substring(name.indexOf('.') + 1)) : -1;
+            if (classes.at(place) != null) {
+                classes.change(place, (s, c) -> restore(s, c, known, speed));
             }
         }
-        Controller.Known back = known.get("returning");
+        Known back = known.get("returning");
         returning = usable(back) ? Math.min(1, back.value()) : returning;
     }
 
-    private static boolean usable(Controller.Known k) {
+    private void restore(ClassStats s, RequestClass c, Map<String, Known> known, double speed) {
+        Known run = known.get("run." + s.place);
+        Known calm = known.get("calm." + s.place);
+        if (usable(run)) {
+            // Guards against another day's slowness: no more is expected than without any memory.
+            s.run = Math.min(run(s, c), (usable(calm) ? Math.min(run.value(), calm.value()) : run.value()) / speed);
+        }
+    }
+
+    private static boolean usable(Known k) {
         return k != null && k.value() > 0 && k.value() < 1e9 && k.weight() > 0;
     }
 }
--- a/src/main/java/tinroad/OverloadController.java
+++ b/src/main/java/tinroad/OverloadController.java
@@ -10,7 +10,7 @@
 
 /**
  * The overload controller of one server: idle control, admission, hold and run, refusals, health, guards.
- * Decides from the settings told at the start and from the events of this server alone.
+ * Decides from the settings, told at the start and by changes, and from the events of this server alone.
  */
 public final class OverloadController implements Controller {
     // --- tuned values; times in ms, the rest ratios ---
@@ -115,8 +115,11 @@
     /** One request in hand. */
     private static final class Work {
         final String id;
-        final int cls;
+        /** What it came under, whatever has changed since. */
+        final RequestClass spec;
+        final ClassStats stats;
         final int tenant;
+        final Tenant quota;
         final int caller;
         final double kb;
         final double arrived;
@@ -135,10 +138,12 @@
         double leftCoreAt;
         double away;
 
-        Work(Request r, RequestClass c, double now, boolean told, double spent) {
+        Work(Request r, RequestClass c, ClassStats s, Tenant t, double now, boolean told, double spent) {
             id = r.id();
-            cls = r.classIndex();
+            spec = c;
+            stats = s;
             tenant = r.tenant();
+            quota = t;
             caller = r.caller();
             kb = r.memoryKb();
             arrived = now - r.age();
@@ -156,10 +161,10 @@
     private final Map<String, Work> all = new LinkedHashMap<>();
     private final List<Work> held = new ArrayList<>();
     private final List<Work> callQueue = new ArrayList<>();
-    private final Map<String, Double> keys = new LinkedHashMap<>();
-    private Learned learned;
-    private Learned.Of[] stats;
-    private double[] tenantRate;
+    private final Expiring keys = new Expiring();
+    private final Learned learned = new Learned(FIRST_RUN, FIRST_WEIGHT);
+    private Classes classes;
+    private Tenants tenants;
     private double allRates;
     private double startedAt;
     private double clock;
@@ -215,9 +220,9 @@
         clock = now;
         lastEnd = now;
         lastSweep = now;
-        learned = new Learned(settings.classes(), FIRST_RUN, FIRST_WEIGHT);
-        stats = learned.of;
-        tenantRate = new double[Math.max(1, settings.tenants().size())];
+        classes = new Classes(settings.classes(), learned, SERVED_SPAN, LAG_SPAN, settings.worthByWork(),
+                now);
+        tenants = new Tenants(settings.tenants(), RATE_SPAN);
         limit = Math.max(1, settings.cores() * RUNS_PER_CORE);
         idle = longestIdle();
         act.health(true, true);
@@ -227,12 +232,33 @@
 
     @Override
     public Map<String, Known> learned() {
-        return learned.export();
+        return learned.export(classes);
     }
 
     @Override
     public void restore(Map<String, Known> known, boolean cold) {
-        learned.restore(known, cold ? Math.max(0.01, set.rules().coldFrom()) : 1);
+        learned.restore(known, cold ? Math.max(0.01, set.rules().coldFrom()) : 1, classes);
+    }
+
+    // --- changes of settings ---
+
+    @Override
+    public void stage(List<ClassAt> changed, List<TenantAt> quotas) {
+        classes.stage(changed);
+        tenants.stage(quotas);
+    }
+
+    @Override
+    public void commit(double now) {
+        advance(now);
+        classes.commit();
+        tenants.commit();
+    }
+
+    @Override
+    public void unstage() {
+        classes.unstage();
+        tenants.unstage();
     }
 
     // --- admission ---
@@ -240,12 +266,16 @@
     @Override
     public void request(double now, Request r) {
         advance(now);
-        RequestClass c = set.classes().get(r.classIndex());
-        Work w = new Work(r, c, now, set.passesDeadline(), spent(now, r, c));
+        RequestClass c = classes.at(r.classIndex());
+        if (c == null) {
+            act.refuse(r.id(), 0, false);
+            return;
+        }
+        ClassStats s = classes.ask(r.classIndex());
+        Work w = new Work(r, c, s, tenants.at(r.tenant()), now, set.passesDeadline(), spent(now, r, c, s));
         all.put(w.id, w);
         memory += w.kb;
-        stats[w.cls].asked++;
-        tenantRate[w.tenant] += 1000 / RATE_SPAN;
+        tenants.ask(w.tenant, 1000 / RATE_SPAN, now);
         allRates += 1000 / RATE_SPAN;
         countReturn(now, r.caller());
         resentPart += EWMA_CALM * ((w.resent ? 1 : 0) - resentPart);
@@ -267,14 +297,14 @@
      * usual ones tells what earlier tries have spent of the deadline, a shorter one what a server has spent.
      * Where no wait is told, a marked retry has waited elsewhere, or stayed away for as long as it was asked.
      */
-    private double spent(double now, Request r, RequestClass c) {
+    private double spent(double now, Request r, RequestClass c, ClassStats s) {
         if (!set.passesDeadline() || r.due() <= 0) {
             return r.resent() ? Math.min(c.aim() / 2, set.maxStayAway()) : 0;
         }
         double wait = r.due() - now + r.age();
         double next = Double.MAX_VALUE;
         boolean known = false;
-        for (Learned.Patience p : stats[r.classIndex()].waits) {
+        for (ClassStats.Patience p : s.waits) {
             if (Math.abs(wait - p.wait) <= WAIT_SAME * c.deadline()) {
                 p.votes = Math.min(WAIT_VOTES, p.votes + (r.resent() ? 0 : 1));
                 return 0;
@@ -283,7 +313,7 @@
             next = p.votes >= WAIT_KNOWN && p.wait > wait ? Math.min(next, p.wait) : next;
         }
         if (!r.resent()) {
-            stats[r.classIndex()].newWait(wait);
+            Learned.newWait(s, wait);
         }
         return known ? Math.max(0, Math.min(next, c.deadline()) - wait) : 0;
     }
@@ -326,7 +356,7 @@
         if (shut()) {
             return probe(now);
         }
-        if (w.rank * tenantWorth(w.tenant) < cut) {
+        if (w.rank * tenantWorth(w) < cut) {
             return false;
         }
         double part = ADMIT_PART + ADMIT_JAM * resentPart;
@@ -353,17 +383,17 @@
 
     /** Estimated time to the answer: the work ahead of this request, then its own run. */
     private double finish(Work w) {
-        double own = run(w.cls);
+        double own = run(w);
         double ahead = ahead(priority(w));
         double busy = Math.max((running + 1) * onCore(), set.cores()) / set.cores();
         ahead += ahead > 0 || running >= (int) limit() ? own / 2 : 0;
         double most = Math.max(1, limit() * onCore() / set.cores());
-        return ahead * onCore() / set.cores() + own * Math.min(busy, most) + stats[w.cls].away;
+        return ahead * onCore() / set.cores() + own * Math.min(busy, most) + w.stats.away;
     }
 
     /** Runs of what is held and goes before this order. */
     private double ahead(double order) {
-        return held.stream().filter(h -> priority(h) >= order).mapToDouble(h -> run(h.cls)).sum();
+        return held.stream().filter(h -> priority(h) >= order).mapToDouble(this::run).sum();
     }
 
     private void keep(Work w, RequestClass c, Request r, double now) {
@@ -455,52 +485,31 @@
      * count less: guards against jams that feed on their retries; may harm one that met only full neighbours.
      */
     private double priority(Work w) {
-        double run = run(w.cls);
-        double share = clock + run + stats[w.cls].away > w.aimAt ? set.classes().get(w.cls).lateShare() : 1;
-        return value(w.cls) * share * tenantWorth(w.tenant) * (w.resent ? RESENT_PART : 1) / run;
+        double run = run(w);
+        double share = clock + run + w.stats.away > w.aimAt ? w.spec.lateShare() : 1;
+        return value(w) * share * tenantWorth(w) * (w.resent ? RESENT_PART : 1) / run;
     }
 
     /** What one answer in time adds to the goal; the classes served worst share the worst one's weight. */
-    private double value(int cls) {
-        double asked = 0;
-        double worth = 0;
-        double worst = 1;
-        for (int i = 0; i < stats.length; i++) {
-            asked += stats[i].asked;
-            worth += stats[i].asked * worth(i);
-            worst = Math.min(worst, ratio(i));
-        }
+    private double value(Work w) {
+        double asked = classes.asked();
+        double worth = classes.worth();
+        double own = classes.worth(w.stats, w.spec);
         if (worth <= 0 || asked < VALUE_SAMPLES) {
-            return worth(cls);
-        }
-        double lags = 0;
-        for (int i = 0; i < stats.length; i++) {
-            lags += lag(i, worst);
+            return own;
         }
-        double share = stats[cls].asked / asked;
-        double bonus = share > 0 ? set.goal().worstClass() * lag(cls, worst) / lags / share : 0;
-        return (set.goal().whole() + set.goal().worstWindow()) * worth(cls) * asked / worth + bonus;
-    }
-
-    private double worth(int cls) {
-        return set.classes().get(cls).worth() * (set.worthByWork() ? stats[cls].run : 1);
-    }
-
-    private double lag(int cls, double worst) {
-        return Math.max(0, 1 - (ratio(cls) - worst) / LAG_SPAN);
-    }
-
-    private double ratio(int cls) {
-        return stats[cls].asked < 1 ? 1 : Math.min(1, stats[cls].served / stats[cls].asked);
+        double share = classes.asked(w.stats) / asked;
+        double bonus = share > 0 ? set.goal().worstClass() * classes.lagShare(w.stats) / share : 0;
+        return (set.goal().whole() + set.goal().worstWindow()) * own * asked / worth + bonus;
     }
 
     /** Below 1 for a tenant whose rate and part of the arrivals are both over its share. */
-    private double tenantWorth(int tenant) {
-        if (set.tenants().isEmpty()) {
+    private double tenantWorth(Work w) {
+        Tenant t = w.quota;
+        if (t == null) {
             return 1;
         }
-        Tenant t = set.tenants().get(tenant);
-        double own = tenantRate[tenant];
+        double own = tenants.rate(w.tenant, clock);
         double quota = t.quotaPerSecond() / Math.max(1, set.servers());
         double beside = (allRates - own) * t.share() / Math.max(1e-9, 1 - t.share());
         double expected = Math.max(quota, beside) * RATE_SPAN / 1000;
@@ -509,9 +518,13 @@
         return within + (1 - within) * set.overShareWorth();
     }
 
-    /** Expected run of a class on one free core here. */
-    private double run(int cls) {
-        return stretch * stats[cls].run;
+    /** Expected run on one free core here. */
+    private double run(Work w) {
+        return stretch * usual(w);
+    }
+
+    private double usual(Work w) {
+        return learned.run(w.stats, w.spec);
     }
 
     /**
@@ -523,8 +536,8 @@
         double usual = 0;
         for (Work w : all.values()) {
             if (w.state == State.RUNNING) {
-                served += Math.min(coreTime - w.servedAtStart, STRETCH_CAP * stats[w.cls].run);
-                usual += stats[w.cls].run;
+                served += Math.min(coreTime - w.servedAtStart, STRETCH_CAP * usual(w));
+                usual += usual(w);
             }
         }
         stretch = Math.max(1, usual > 0 ? served / (STRETCH_CALM * usual) : 1);
@@ -544,7 +557,7 @@
             learn(w, outcome == Outcome.OK, now);
         }
         if (outcome == Outcome.OK && !w.answered && now <= w.aimAt) {
-            stats[w.cls].served++;
+            classes.serve(w.stats);
         }
         drop(w);
         dispatch();
@@ -561,13 +574,14 @@
         if (!ok) {
             return;
         }
-        Learned.Of s = stats[w.cls];
-        s.away += EWMA_RUN * (w.away - s.away);
-        double sample = Math.max(1, coreTime - w.servedAtStart);
-        s.run = blend(s.run, sample, Math.max(EWMA_RUN, 1 / ++s.runs));
-        if (running <= set.cores() && (!set.cold() || clock - startedAt >= set.rules().rampTime())) {
-            s.calm = blend(s.calm, sample, Math.max(EWMA_CALM, 1 / ++s.calmRuns));
-        }
+        classes.change(w.stats, w.spec, (s, c) -> {
+            s.away += EWMA_RUN * (w.away - s.away);
+            double sample = Math.max(1, coreTime - w.servedAtStart);
+            s.run = blend(learned.run(s, c), sample, Math.max(EWMA_RUN, 1 / ++s.runs));
+            if (running <= set.cores() && (!set.cold() || clock - startedAt >= set.rules().rampTime())) {
+                s.calm = blend(learned.calm(s, c), sample, Math.max(EWMA_CALM, 1 / ++s.calmRuns));
+            }
+        });
     }
 
     /** The first samples count alike, so that no single one decides; later ones by the average's weight. */
@@ -585,7 +599,7 @@
         w.answered = true;
         if (w.state == State.HELD || w.state == State.JOINED) {
             drop(w);
-        } else if (w.state == State.RUNNING && set.classes().get(w.cls).semantics() == Semantics.FREE) {
+        } else if (w.state == State.RUNNING && w.spec.semantics() == Semantics.FREE) {
             stop(w);
         }
         dispatch();
@@ -612,7 +626,7 @@
                 endCall(w, true);
             }
         }
-        if (!w.ran && w.kept && keys.remove(w.id) != null) {
+        if (!w.ran && w.kept && keys.remove(w.id)) {
             act.forget(w.id);
             memory -= set.keyKb();
         }
@@ -645,7 +659,7 @@
             return;
         }
         endCall(w, outcome == Outcome.TIMED_OUT || outcome == Outcome.RESET);
-        RequestClass c = set.classes().get(w.cls);
+        RequestClass c = w.spec;
         learnCall(c, outcome == Outcome.OK, Math.max(1, elapsed));
         boolean unran = outcome == Outcome.QUEUE_FULL || outcome == Outcome.CONNECT_ERROR;
         if (outcome == Outcome.OK) {
@@ -698,11 +712,11 @@
     /** Places what calls may be made; what cannot call in time goes on without, where that has a worth. */
     private void placeCalls(double now) {
         for (Work w : List.copyOf(callQueue)) {
-            RequestClass c = set.classes().get(w.cls);
+            RequestClass c = w.spec;
             double within = dueGuard(w) - now;
             if (c.skipWorth() > 0) {
                 double usual = Math.max(FIRST_RUN * c.aim(), FAR_OVER * FAR_OVER * callCalm);
-                within = Math.min(Math.min(within, w.aimAt - run(w.cls) / 2 - now), usual);
+                within = Math.min(Math.min(within, w.aimAt - run(w) / 2 - now), usual);
             }
             boolean fits = within > 0 && (calls == 0 || callTime < within);
             if (fits && mayCall(within)) {
@@ -739,7 +753,7 @@
      */
     private void refuse(Work w) {
         boolean closed = shut() || drainAt < Double.MAX_VALUE;
-        boolean local = closed || slowdown() > SLOW_RATIO;
+        boolean local = closed || classes.slowdown() > SLOW_RATIO;
         double most = set.passesStayAway() ? set.maxStayAway() * (local ? 1 : LOAD_ADVICE) : 0;
         double away = closed ? most : Math.min(most, ahead(0) * onCore() / set.cores() + clock - w.arrived);
         away = shut() && most > 0 ? returns.tell(w.caller, clock, SHUT_ADVICE * most, most) : away;
@@ -788,7 +802,7 @@
         measureStretch();
         measureOnCore(gauges.onCores());
         watch(now);
-        expireKeys(now);
+        memory -= keys.expire(now) * set.keyKb();
         moveCut();
         if (now - lastSweep >= SWEEP) {
             lastSweep = now;
@@ -807,7 +821,7 @@
                 continue;
             }
             if (w.state == State.HELD) {
-                boolean misses = now + run(w.cls) + stats[w.cls].away > w.aimAt;
+                boolean misses = now + run(w) + w.stats.away > w.aimAt;
                 missed |= misses;
                 if (now >= dueGuard(w) || hung || misses && running >= set.cores()) {
                     refuse(w);
@@ -820,8 +834,8 @@
 
     /** Late for sure, and may be stopped; what waits could still be in time. Guards against giants. */
     private boolean worthless(Work w) {
-        RequestClass c = set.classes().get(w.cls);
-        boolean far = set.halt() != Halt.NONE && coreTime - w.servedAtStart > FAR_OVER * stats[w.cls].run;
+        RequestClass c = w.spec;
+        boolean far = set.halt() != Halt.NONE && coreTime - w.servedAtStart > FAR_OVER * usual(w);
         return far && w.state == State.RUNNING && c.lateShare() == 0 && c.semantics() == Semantics.FREE;
     }
 
@@ -829,25 +843,15 @@
     private double meanRun() {
         double sum = 0;
         for (Work w : all.values()) {
-            sum += w.state == State.RUNNING ? stats[w.cls].run : 0;
+            sum += w.state == State.RUNNING ? usual(w) : 0;
         }
         return sum / Math.max(1, running);
     }
 
-    private void expireKeys(double now) {
-        Iterator<Map.Entry<String, Double>> it = keys.entrySet().iterator();
-        while (it.hasNext()) {
-            if (it.next().getValue() < now) {
-                it.remove();
-                memory -= set.keyKb();
-            }
-        }
-    }
-
     /** The rank cut: rises while runs fill the cores and work misses its aim, falls when calm. */
     private void moveCut() {
         boolean pressed = missed && running >= set.cores();
-        double top = CUT_TOP / Math.max(1, stats.length);
+        double top = CUT_TOP / Math.max(1, classes.size());
         cut = pressed ? Math.min(top, cut + CUT_RISE) : Math.max(0, cut - CUT_FALL);
         missed = false;
         double closed = shut() ? 1 : cut;
@@ -867,7 +871,7 @@
     private void sweep(Gauges g) {
         double connections = g.connections();
         keepOpenInAJam();
-        double excess = slowdown() - 1;
+        double excess = classes.slowdown() - 1;
         if (connections > 0 && clock - startedAt > longestIdle()) {
             if (calmSweeps == 0 || running <= set.cores() && held.isEmpty()) {
                 calmConnections += Math.max(EWMA_CALM, 1 / ++calmSweeps) * (connections - calmConnections);
@@ -898,7 +902,7 @@
      */
     private void keepOpenInAJam() {
         double longer = Math.max(longestIdle(), Math.min(set.idle(), 2 * keepOpen));
-        keepOpen = behind > BEHIND && slowdown() < 1 + 2 * BEHIND ? longer : keepOpen / IDLE_REGROW;
+        keepOpen = behind > BEHIND && classes.slowdown() < 1 + 2 * BEHIND ? longer : keepOpen / IDLE_REGROW;
     }
 
     /** Idle time when calm: where callers seldom come back, their connections are not worth keeping. */
@@ -915,17 +919,6 @@
         return set.idle() > 0 ? Math.min(IDLE_CALM, set.idle()) : IDLE_CALM;
     }
 
-    /** Mean of the classes' run latencies over their calm baselines. */
-    private double slowdown() {
-        double run = 0;
-        double calm = 0;
-        for (Learned.Of s : stats) {
-            run += s.run;
-            calm += s.calm;
-        }
-        return calm > 0 ? run / calm : 1;
-    }
-
     private void tellHealth() {
         if (shut() != shutLogged) {
             shutLogged = shut();
@@ -963,16 +956,9 @@
         coreTime += passed * Math.min(1, set.cores() / Math.max(1, running * onCore()));
         double fadeRate = Math.exp(-passed / RATE_SPAN);
         allRates *= fadeRate;
-        for (int i = 0; i < tenantRate.length; i++) {
-            tenantRate[i] *= fadeRate;
-        }
         failing *= sick && clock - lastEnd > RATE_SPAN ? fadeRate : 1;
         sick &= failing > WELL_AT;
-        double fadeServed = Math.exp(-passed / SERVED_SPAN);
-        for (Learned.Of s : stats) {
-            s.asked *= fadeServed;
-            s.served *= fadeServed;
-        }
+        classes.advance(now);
         lent = Math.max(0, lent - passed * set.below().callShare() * CALL_PART / 2)
                 + passed * (calls + lingering.size());
         while (!lingering.isEmpty() && lingering.peek() <= now) {
--- /dev/null
+++ b/src/main/java/tinroad/Tenants.java
@@ -0,0 +1,61 @@
+package tinroad;
+
+import java.util.List;
+import tinroad.Controller.Tenant;
+import tinroad.Controller.TenantAt;
+
+/** The tenants by place and what each asks for lately. A change is prepared in a version beside the one that counts. */
+final class Tenants {
+    private final FadingRates rates;
+    private Places<Tenant> now;
+    private Places<Tenant> staged;
+
+    /** {@code span}: ms in which a rate falls to its e-th part. */
+    Tenants(List<Tenant> tenants, double span) {
+        now = Places.of(tenants);
+        rates = new FadingRates(span);
+    }
+
+    /** The tenant at this place, or null. */
+    Tenant at(int place) {
+        return now.get(place);
+    }
+
+    /** Its rate. */
+    double rate(int place, double clock) {
+        return rates.at(place, clock);
+    }
+
+    /** Adds to its rate. */
+    void ask(int place, double amount, double clock) {
+        rates.add(place, amount, clock);
+    }
+
+    /** Prepares a part of a change. */
+    void stage(List<TenantAt> changes) {
+        staged = staged == null ? now.next() : staged;
+        for (TenantAt change : changes) {
+            if (at(change.place()) == null) {
+                // Nobody is there before the change, so nobody's rate is lost if it is dropped.
+                rates.clear(change.place());
+            }
+            staged.set(change.place(), change.spec());
+        }
+    }
+
+    /** What was prepared counts. */
+    void commit() {
+        now = staged == null ? now : staged;
+        staged = null;
+    }
+
+    /** It does not. */
+    void unstage() {
+        staged = null;
+    }
+
+    /** How often a place was read. */
+    long reads() {
+        return now.reads();
+    }
+}
--- /dev/null
+++ b/src/test/java/tinroad/ClassesTest.java
@@ -0,0 +1,208 @@
+package tinroad;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
+import java.util.stream.IntStream;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+import tinroad.Controller.ClassAt;
+import tinroad.Controller.RequestClass;
+import tinroad.Controller.Semantics;
+
+/** The sums over the classes, against walks over all of them. */
+class ClassesTest {
+    private static final double SPAN = 20_000;
+    private static final double LAG = 0.1;
+
+    /** The same by walking: what each class was asked and served, faded at each step. */
+    private static final class Walked {
+        final List<RequestClass> specs = new ArrayList<>();
+        final List<double[]> of = new ArrayList<>();
+
+        void put(int place, RequestClass c) {
+            while (specs.size() <= place) {
+                specs.add(null);
+                of.add(null);
+            }
+            if (specs.get(place) == null) {
+                of.set(place, new double[] {0, 0, 0, 0});
+            }
+            specs.set(place, c);
+        }
+
+        double run(int i) {
+            return of.get(i)[2] == 0 ? 0.25 * specs.get(i).aim() : of.get(i)[2];
+        }
+
+        double calm(int i) {
+            return of.get(i)[3] == 0 ? 0.25 * specs.get(i).aim() : of.get(i)[3];
+        }
+
+        double asked() {
+            return live().stream().mapToDouble(i -> of.get(i)[0]).sum();
+        }
+
+        double worth(boolean byWork) {
+            return live().stream().mapToDouble(i -> of.get(i)[0] * specs.get(i).worth() * (byWork ? run(i) : 1)).sum();
+        }
+
+        double ratio(int i) {
+            return of.get(i)[0] < 1 ? 1 : Math.min(1, of.get(i)[1] / of.get(i)[0]);
+        }
+
+        List<Integer> live() {
+            return IntStream.range(0, specs.size()).filter(i -> specs.get(i) != null).boxed().toList();
+        }
+
+        double lagShare(int place) {
+            double worst = live().stream().mapToDouble(this::ratio).reduce(1, Math::min);
+            double lags = live().stream().mapToDouble(i -> Math.max(0, 1 - (ratio(i) - worst) / LAG)).sum();
+            return Math.max(0, 1 - (ratio(place) - worst) / LAG) / lags;
+        }
+    }
+
+    private static RequestClass spec(Random random) {
+        return new RequestClass(50 + random.nextInt(2000), 0, 4000, 1 + random.nextInt(9), 0, Semantics.FREE, 0, false, 0);
+    }
+
+    private final Learned learned = new Learned(0.25, 2);
+
+    private static void same(double walked, double kept, String what) {
+        assertEquals(walked, kept, 1e-9 * Math.max(1e-3, walked), what);
+    }
+
+    @Property(tries = 50, seed = "32")
+    void anyOrderOfSamplesAndChangesGivesTheSumsOfAWalk(@ForAll long seed) {
+        Random random = new Random(seed);
+        Walked walked = new Walked();
+        List<RequestClass> begin = new ArrayList<>();
+        for (int i = 0; i < 1 + random.nextInt(40); i++) {
+            begin.add(spec(random));
+            walked.put(i, begin.get(i));
+        }
+        boolean byWork = random.nextBoolean();
+        Classes classes = new Classes(begin, learned, SPAN, LAG, byWork, 0);
+        double now = 0;
+        List<ClassAt> staged = new ArrayList<>();
+        double[] peaks = new double[2];
+        for (int step = 0; step < 2000; step++) {
+            double passed = random.nextInt(200) == 0 ? 30_000 * random.nextDouble() : 20 * random.nextDouble();
+            now += passed;
+            classes.advance(now);
+            walked.of.forEach(s -> {
+                if (s != null) {
+                    s[0] *= Math.exp(-passed / SPAN);
+                    s[1] *= Math.exp(-passed / SPAN);
+                }
+            });
+            List<Integer> live = walked.live();
+            int dice = random.nextInt(100);
+            if (dice < 70 && !live.isEmpty()) {
+                int place = live.get((int) (live.size() * random.nextDouble() * random.nextDouble()));
+                ClassStats s = classes.ask(place);
+                walked.of.get(place)[0]++;
+                if (random.nextInt(3) > 0) {
+                    classes.serve(s);
+                    walked.of.get(place)[1]++;
+                }
+                double sample = 1 + 1000 * random.nextDouble();
+                if (random.nextBoolean()) {
+                    classes.change(s, classes.at(place), (of, c) -> {
+                        of.run = sample;
+                        of.calm = sample / 2;
+                    });
+                    walked.of.get(place)[2] = sample;
+                    walked.of.get(place)[3] = sample / 2;
+                }
+            } else if (dice < 85) {
+                int place = random.nextInt(walked.specs.size() + 3);
+                ClassAt change = new ClassAt(place, random.nextInt(3) == 0 ? null : spec(random));
+                classes.stage(List.of(change));
+                staged.add(change);
+            } else if (dice < 90) {
+                classes.commit();
+                Map<Integer, RequestClass> last = new TreeMap<>();
+                staged.forEach(c -> last.put(c.place(), c.spec()));
+                last.forEach(walked::put);
+                staged.clear();
+            } else if (dice < 92) {
+                classes.unstage();
+                staged.clear();
+            }
+            // A faded sum errs by parts of what it was, not of what is left of it.
+            peaks[0] = Math.max(peaks[0], walked.asked());
+            peaks[1] = Math.max(peaks[1], walked.worth(byWork));
+            assertEquals(walked.asked(), classes.asked(), 1e-12 * peaks[0]);
+            assertEquals(walked.worth(byWork), classes.worth(), 1e-12 * peaks[1]);
+            if (step % 10 == 0) {
+                check(walked, classes);
+            }
+        }
+    }
+
+    private static void check(Walked walked, Classes classes) {
+        List<Integer> live = walked.live();
+        assertEquals(live.size(), classes.size());
+        if (!live.isEmpty()) {
+            same(live.stream().mapToDouble(walked::run).sum() / live.stream().mapToDouble(walked::calm).sum(),
+                    classes.slowdown(), "slowdown");
+        }
+        for (int place : live) {
+            ClassStats[] s = new ClassStats[1];
+            if (walked.of.get(place)[0] > 0) {
+                classes.change(place, (of, c) -> s[0] = of);
+                // Whether a class tells is decided at one request; on the very edge either is right.
+                if (Math.abs(walked.of.get(place)[0] - 1) > 1e-9) {
+                    same(walked.lagShare(place), classes.lagShare(s[0]), "lag of " + place);
+                }
+            }
+        }
+    }
+
+    @Test
+    void theSumsDoNotDriftInTenMillionSamples() {
+        Random random = new Random(33);
+        List<RequestClass> specs = new ArrayList<>();
+        for (int i = 0; i < 50; i++) {
+            specs.add(spec(random));
+        }
+        Classes classes = new Classes(specs, learned, SPAN, LAG, true, 0);
+        ClassStats[] of = new ClassStats[50];
+        for (int i = 0; i < 10_000_000; i++) {
+            int place = i % 50;
+            if (i % 3 == 0) {
+                classes.advance(i);
+                of[place] = classes.ask(place);
+            } else if (of[place] != null) {
+                // From a thousandth of a ms to a day, so that each sum swallows what is added to it.
+                double sample = Math.pow(10, random.nextDouble() * 11 - 3);
+                classes.change(of[place], specs.get(place), (s, c) -> {
+                    s.run = sample;
+                    s.calm = 90_000_000 / sample;
+                });
+            }
+        }
+        // All back to small values: what is left of large ones would show.
+        for (int i = 0; i < 50; i++) {
+            classes.change(of[i], specs.get(i), (s, c) -> {
+                s.run = 3;
+                s.calm = 2;
+            });
+        }
+        double asked = 0;
+        double worth = 0;
+        for (int i = 0; i < 50; i++) {
+            asked += classes.asked(of[i]);
+            worth += classes.asked(of[i]) * specs.get(i).worth() * 3;
+        }
+        assertEquals(1.5, classes.slowdown(), 1e-12);
+        assertEquals(asked, classes.asked(), 1e-9 * asked);
+        assertEquals(worth, classes.worth(), 1e-6 * worth);
+    }
+}
--- /dev/null
+++ b/src/test/java/tinroad/FadingRatesTest.java
@@ -0,0 +1,45 @@
+package tinroad;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+
+/** Rates that fade when they are read. */
+class FadingRatesTest {
+    @Property(tries = 100, seed = "31")
+    void aRateIsThatOfFadingAllAtEachStep(@ForAll long seed) {
+        FadingRates rates = new FadingRates(3000);
+        Random random = new Random(seed);
+        double[] walked = new double[600];
+        double now = 0;
+        for (int i = 0; i < 2000; i++) {
+            double passed = random.nextInt(3) * random.nextDouble() * 100;
+            now += passed;
+            for (int place = 0; place < walked.length; place++) {
+                walked[place] *= Math.exp(-passed / 3000);
+            }
+            int place = random.nextInt(walked.length);
+            walked[place]++;
+            rates.add(place, 1, now);
+        }
+        for (int place = 0; place < walked.length; place++) {
+            assertEquals(walked[place], rates.at(place, now), 1e-12 * (1 + walked[place]));
+        }
+    }
+
+    @Test
+    void whatWasNeverAskedOrIsClearedHasNoRateAndTheNeighboursKeepTheirs() {
+        FadingRates rates = new FadingRates(3000);
+        rates.clear(9);
+        rates.add(300, 2, 10);
+        rates.add(301, 4, 10);
+        rates.clear(300);
+        assertEquals(0, rates.at(300, 10));
+        assertEquals(4, rates.at(301, 10));
+        assertEquals(0, rates.at(100_000, 10));
+        assertEquals(4 / Math.E, rates.at(301, 3010), 1e-12);
+    }
+}
--- a/src/test/java/tinroad/LearnedTest.java
+++ b/src/test/java/tinroad/LearnedTest.java
@@ -5,6 +5,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.junit.jupiter.api.Test;
@@ -17,43 +18,75 @@
     private static final List<RequestClass> CLASSES = List.of(new RequestClass(1000, 0, 2000, 1, 0, Semantics.FREE, 0, false, 0),
             new RequestClass(2000, 0, 4000, 3, 0, Semantics.SINGLE_SHOT, 0, false, 0));
 
-    private static Learned fresh() {
-        return new Learned(CLASSES, 0.25, 2);
+    private final Learned learned = new Learned(0.25, 2);
+    private final Classes classes = new Classes(CLASSES, learned, 20_000, 0.1, false, 0);
+
+    private double run(int place) {
+        return learned.run(stats(place), CLASSES.get(place));
+    }
+
+    private ClassStats stats(int place) {
+        ClassStats[] found = new ClassStats[1];
+        classes.change(place, (s, c) -> found[0] = s);
+        return found[0];
     }
 
     @Test
     void whatIsExportedIsRestoredButWeighsLittle() {
-        Learned before = fresh();
-        before.of[0].run = 24;
-        before.of[0].runs = 5000;
-        before.of[0].calm = 20;
-        before.returning = 0.4;
-        Learned after = fresh();
-        after.restore(before.export(), 1);
-        assertEquals(20, after.of[0].run);
-        assertEquals(2, after.of[0].runs);
-        assertEquals(500, after.of[1].run);
-        assertEquals(0.4, after.returning);
+        LearnedTest before = new LearnedTest();
+        before.classes.change(0, (s, c) -> {
+            s.run = 24;
+            s.runs = 5000;
+            s.calm = 20;
+        });
+        before.learned.returning = 0.4;
+        learned.restore(before.learned.export(before.classes), 1, classes);
+        assertEquals(20, run(0));
+        assertEquals(2, stats(0).runs);
+        assertEquals(500, run(1));
+        assertEquals(0.4, learned.returning);
     }
 
     @Test
     void onAColdEngineRunsAreExpectedToTakeAsMuchLongerAndNeverLongerThanWithoutAnyMemory() {
-        Learned after = fresh();
-        after.restore(Map.of("run.0", new Known(24, 9), "run.1", new Known(30_000, 9)), 0.2);
-        assertEquals(120, after.of[0].run);
-        assertEquals(500, after.of[1].run);
+        learned.restore(Map.of("run.0", new Known(24, 9), "run.1", new Known(30_000, 9)), 0.2, classes);
+        assertEquals(120, run(0));
+        assertEquals(500, run(1));
         // No slowdown is seen in what is only cold, or was slow on another day.
-        assertEquals(250, after.of[0].calm);
+        assertEquals(250, learned.calm(stats(0), CLASSES.get(0)));
+        assertEquals((120 + 500) / 750.0, classes.slowdown(), 1e-12);
+    }
+
+    @Test
+    void untilTheFirstRequestAllIsToldAndThenOnlyWhatHasSamplesOrAMemory() {
+        Map<String, Known> assumed = learned.export(classes);
+        assertEquals(Set.of("run.0", "calm.0", "run.1", "calm.1", "returning"), assumed.keySet());
+        assertEquals(new Known(500, 2), assumed.get("calm.1"));
+        classes.ask(0);
+        assertEquals(Set.of("returning"), learned.export(classes).keySet());
+        learned.restore(Map.of("calm.1", new Known(400, 9)), 1, classes);
+        // A memory of it stays told, so that it is left to the next life as it was found.
+        assertEquals(Set.of("run.1", "calm.1", "returning"), learned.export(classes).keySet());
+        assertEquals(new Known(500, 2), learned.export(classes).get("calm.1"));
+    }
+
+    @Test
+    void namesThatAreNoPlaceAreLeftOut() {
+        learned.restore(Map.of("run.-1", new Known(1, 1), "run.", new Known(1, 1), "calm.99999999999", new Known(1, 1),
+                "0", new Known(1, 1), "run.2", new Known(1, 1), "runs.0", new Known(1, 1)), 1, classes);
+        classes.ask(0);
+        assertEquals(Set.of("returning"), learned.export(classes).keySet());
     }
 
     @Property(tries = 500, seed = "21")
     void noNumberMakesAClassImpossible(@ForAll double run, @ForAll double calm, @ForAll double weight, @ForAll double back) {
-        Learned after = fresh();
-        after.restore(Map.of("run.0", new Known(run, weight), "calm.0", new Known(calm, weight),
-                "run.9", new Known(run, 1), "returning", new Known(back, 1), "unheard.of", new Known(1, 1)), 0.2);
-        for (Learned.Of c : after.of) {
-            assertTrue(c.run > 0 && c.run < Double.POSITIVE_INFINITY && c.calm > 0 && c.runs > 0, "" + c.run);
+        LearnedTest after = new LearnedTest();
+        after.learned.restore(Map.of("run.0", new Known(run, weight), "calm.0", new Known(calm, weight),
+                "run.9", new Known(run, 1), "returning", new Known(back, 1), "unheard.of", new Known(1, 1)), 0.2, after.classes);
+        for (int i = 0; i < CLASSES.size(); i++) {
+            assertTrue(after.run(i) > 0 && after.run(i) < Double.POSITIVE_INFINITY && after.learned.calm(after.stats(i), CLASSES.get(i)) > 0
+                    && after.stats(i).runs > 0, "" + after.run(i));
         }
-        assertTrue(after.returning > 0 && after.returning <= 1);
+        assertTrue(after.learned.returning > 0 && after.learned.returning <= 1);
     }
 }
--- a/src/test/java/tinroad/OverloadControllerTest.java
+++ b/src/test/java/tinroad/OverloadControllerTest.java
@@ -140,7 +140,8 @@
         for (Field field : OverloadController.class.getDeclaredFields()) {
             field.setAccessible(true);
             Object value = field.get(f.controller);
-            int size = value instanceof Map<?, ?> m ? m.size() : value instanceof List<?> l ? l.size() : 0;
+            int size = value instanceof Map<?, ?> m ? m.size() : value instanceof List<?> l ? l.size()
+                    : value instanceof Expiring e ? e.size() : 0;
             assertTrue(size <= 60, field.getName() + " holds " + size);
         }
     }
--- /dev/null
+++ b/src/test/java/tinroad/PlacesTest.java
@@ -0,0 +1,69 @@
+package tinroad;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
+import java.util.stream.IntStream;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+
+/** The tables whose versions share what did not change. */
+class PlacesTest {
+    @Test
+    void aVersionKeepsItsValuesWhateverTheNextOnesSet() {
+        Places<Integer> first = Places.of(IntStream.range(0, 1000).boxed().toList());
+        Places<Integer> second = first.next();
+        second.set(300, -1);
+        second.set(301, null);
+        second.set(5000, 7);
+        Places<Integer> third = second.next();
+        third.set(300, -2);
+        assertEquals(List.of(300, 301, 1000), List.of(first.get(300), first.get(301), first.size()));
+        assertNull(first.get(5000));
+        assertEquals(List.of(-1, 7, 5001), List.of(second.get(300), second.get(5000), second.size()));
+        assertNull(second.get(301));
+        assertEquals(List.of(-2, 7, 299, 5001), List.of(third.get(300), third.get(5000), third.get(299), third.size()));
+    }
+
+    @Test
+    void noPlaceIsOutsideAndAnImpossibleOneIsNotSet() {
+        Places<String> empty = new Places<>();
+        assertNull(empty.get(-1));
+        assertNull(empty.get(Integer.MAX_VALUE));
+        assertThrows(IllegalArgumentException.class, () -> empty.set(-1, "x"));
+        assertThrows(IllegalArgumentException.class, () -> empty.set(Places.MOST, "x"));
+        assertEquals(0, empty.size());
+    }
+
+    @Property(tries = 100, seed = "30")
+    void everyVersionIsTheMapThatItWasWhenTheNextBegan(@ForAll long seed) {
+        Random random = new Random(seed);
+        Places<Integer> places = new Places<>();
+        Map<Integer, Integer> model = new TreeMap<>();
+        List<Places<Integer>> versions = new ArrayList<>();
+        List<Map<Integer, Integer>> models = new ArrayList<>();
+        for (int i = 0; i < 400; i++) {
+            int place = random.nextInt(1 + random.nextInt(3000));
+            Integer value = random.nextInt(4) == 0 ? null : Integer.valueOf(i);
+            places.set(place, value);
+            model.put(place, value);
+            if (random.nextInt(40) == 0) {
+                versions.add(places);
+                models.add(new TreeMap<>(model));
+                places = places.next();
+            }
+        }
+        for (int v = 0; v < versions.size(); v++) {
+            for (int place = 0; place < 3000; place++) {
+                assertEquals(models.get(v).get(place), versions.get(v).get(place));
+            }
+        }
+    }
+}
