--- a/src/test/java/tinroad/cli/SettingsInPlaceTest.java
+++ b/src/test/java/tinroad/cli/SettingsInPlaceTest.java
@@ -13,6 +13,10 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -21,6 +25,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -86,6 +91,13 @@
         return value(settings(control), name);
     }
 
+    /** How many it has read: those that wait, and those that were turned away at once. */
+    private long requestsRead() throws Exception {
+        HttpRequest call = HttpRequest.newBuilder(URI.create("http://" + control + "/api/telemetry")).build();
+        JsonNode figures = new ObjectMapper().readTree(HttpClient.newHttpClient().send(call, HttpResponse.BodyHandlers.ofString()).body());
+        return figures.path("inflight").asLong() + Stream.of("success", "busy", "failure").mapToLong(what -> figures.path(what).path("new-order").asLong()).sum();
+    }
+
     /** Of the file as it is now, as a start would read it. */
     private String hashOfTheFile() throws ConfigException {
         Site site = GatewayConfig.read(dir.resolve("config.json")).site();
@@ -136,6 +148,9 @@
             waiting.get(i).getOutputStream().write(request(i + 1, "new-order"));
         }
         String first = runs.poll(HUNG_MS, TimeUnit.MILLISECONDS);
+        while (requestsRead() < waiting.size()) {
+            Thread.sleep(10);
+        }
         hangUp(PAY, ACME);
         logged("settings in force: ");
         runsEnd = true;
