Let classes and tenants of the module change in place, in parts that count at one instant

Need: a change of settings came in force only at the next start. Change: stage prepares a version beside the one that counts, on tables that share all chunks but those changed (Places) and with sums of its own that hear of every sample meanwhile; commit puts it in place, unstage drops it. A commit costs nothing for each entry, but clears what was learned at places put anew. What is in hand keeps its class, tenant and due time; a class taken out counts in no sum any more, and what it learned is told until its place is put again; what was only assumed follows the new aim.

RuleChecker takes each request by the class as it stood when it came, and holds a key for the window of the run that took it: with classes that change there are two windows, and the one that was promised counts; for classes that stay nothing changes.

--- a/src/main/java/tinroad/ClassStats.java
+++ b/src/main/java/tinroad/ClassStats.java
@@ -23,15 +23,14 @@
     double away;
     double runs;
     double calmRuns;
-    /** There are samples, or a memory of them. */
-    boolean known;
+    /** Where it stands among those with samples or a memory of them; -1: nowhere. */
+    int known = -1;
     /** What it was asked and served lately, faded up to a time. */
     double asked;
     double served;
     private double fadedAt;
-    /** Until when it was asked often enough for the part that was served to tell; whether it is listed for that. */
-    double tellsUntil;
-    boolean tells;
+    /** Where it stands in {@link Telling}; -1: nowhere. */
+    int telling = -1;
     List<Patience> waits = List.of();
 
     /** Nothing yet, which weighs so many samples. */
--- a/src/main/java/tinroad/Classes.java
+++ b/src/main/java/tinroad/Classes.java
@@ -47,7 +47,6 @@
 
     private final Learned learned;
     private final double span;
-    private final double lagSpan;
     private final boolean worthByWork;
     /** What is measured of them, where there is anything. */
     private final Places<ClassStats> stats = new Places<>();
@@ -59,13 +58,7 @@
     /** Staged places that had no class when something was learned there. */
     private final List<Integer> anew = new ArrayList<>();
     private double clock;
-    /** Classes asked often enough lately for their ratios to tell: at most as many as there were requests. */
-    private final List<ClassStats> telling = new ArrayList<>();
-    private double worst = 1;
-    private double lags;
-    private boolean stale = true;
-    /** When the first of them tells no more. */
-    private double quietAt;
+    private final Telling telling;
 
     /**
      * @param span ms in which what was asked and served falls to its e-th part
@@ -75,7 +68,7 @@
     Classes(List<RequestClass> specs, Learned learned, double span, double lagSpan, boolean worthByWork, double clock) {
         this.learned = learned;
         this.span = span;
-        this.lagSpan = lagSpan;
+        telling = new Telling(lagSpan);
         this.worthByWork = worthByWork;
         this.clock = clock;
         for (RequestClass c : specs) {
@@ -140,11 +133,7 @@
 
     /** This class's part of the weight that those served worst share; nothing for one that was taken out. */
     double lagShare(ClassStats s) {
-        if (!counts(s)) {
-            return 0;
-        }
-        refresh();
-        return lag(ratio(s)) / lags;
+        return counts(s) ? telling.lagShare(s, now.size, clock) : 0;
     }
 
     // --- samples ---
@@ -156,12 +145,7 @@
         addWhereCounted(s, -1);
         s.asked++;
         addWhereCounted(s, 1);
-        s.tellsUntil = clock + span * Math.log(s.asked);
-        if (!s.tells) {
-            s.tells = true;
-            telling.add(s);
-        }
-        stale = true;
+        telling.add(s, clock + span * Math.log(s.asked));
         return s;
     }
 
@@ -169,7 +153,7 @@
     void serve(ClassStats s) {
         s.fade(clock, span);
         s.served++;
-        stale = true;
+        telling.changed(s);
     }
 
     /** What is measured of the class at this place changes. */
@@ -183,8 +167,8 @@
         addWhereCounted(s, -1);
         how.accept(s, c);
         addWhereCounted(s, 1);
-        if (!s.known) {
-            s.known = true;
+        if (s.known < 0 && stats.get(s.place) == s) {
+            s.known = known.size();
             known.add(s);
         }
     }
@@ -222,42 +206,13 @@
         }
     }
 
-    private void refresh() {
-        if (!stale && clock <= quietAt) {
-            return;
-        }
-        worst = 1;
-        quietAt = Double.MAX_VALUE;
-        for (int i = telling.size() - 1; i >= 0; i--) {
-            ClassStats s = telling.get(i);
-            if (s.tellsUntil < clock) {
-                s.tells = false;
-                telling.set(i, telling.get(telling.size() - 1));
-                telling.remove(telling.size() - 1);
-            } else {
-                worst = Math.min(worst, ratio(s));
-                quietAt = Math.min(quietAt, s.tellsUntil);
-            }
-        }
-        lags = (now.size - telling.size()) * lag(1);
-        for (ClassStats s : telling) {
-            lags += lag(ratio(s));
-        }
-        stale = false;
-    }
-
-    private double lag(double ratio) {
-        return Math.max(0, 1 - (ratio - worst) / lagSpan);
-    }
-
-    private double ratio(ClassStats s) {
-        return s.tellsUntil < clock ? 1 : Math.min(1, s.served / s.asked);
-    }
-
     // --- changes ---
 
     /** Prepares a part of a change. */
     void stage(List<ClassAt> changes) {
+        if (changes.isEmpty()) {
+            return;
+        }
         untouched = false;
         staged = staged == null ? new Version(now) : staged;
         for (ClassAt change : changes) {
@@ -287,11 +242,21 @@
             now = staged;
             staged = null;
             anew.removeIf(place -> at(place) == null);
-            anew.forEach(place -> stats.set(place, null));
-            known.removeIf(s -> !anew.isEmpty() && stats.get(s.place) != s);
+            anew.forEach(this::forget);
             anew.clear();
-            telling.removeIf(s -> !counts(s));
-            stale = true;
+            telling.retain(this::counts);
+        }
+    }
+
+    private void forget(int place) {
+        ClassStats s = stats.get(place);
+        stats.set(place, null);
+        if (s != null && s.known >= 0) {
+            ClassStats last = known.remove(known.size() - 1);
+            if (last != s) {
+                known.set(s.known, last);
+                last.known = s.known;
+            }
         }
     }
 
--- a/src/main/java/tinroad/Tenants.java
+++ b/src/main/java/tinroad/Tenants.java
@@ -33,6 +33,9 @@
 
     /** Prepares a part of a change. */
     void stage(List<TenantAt> changes) {
+        if (changes.isEmpty()) {
+            return;
+        }
         staged = staged == null ? now.next() : staged;
         for (TenantAt change : changes) {
             if (at(change.place()) == null) {
--- a/src/test/java/tinroad/FourRulesTest.java
+++ b/src/test/java/tinroad/FourRulesTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import tinroad.Controller.Below;
+import tinroad.Controller.ClassAt;
 import tinroad.Controller.Dependency;
 import tinroad.Controller.Gauges;
 import tinroad.Controller.Goal;
@@ -16,6 +17,7 @@
 import tinroad.Controller.Semantics;
 import tinroad.Controller.Settings;
 import tinroad.Controller.Tenant;
+import tinroad.Controller.TenantAt;
 import java.lang.reflect.Proxy;
 import java.util.ArrayList;
 import java.util.List;
@@ -29,9 +31,7 @@
         boolean calls = rnd.nextBoolean();
         List<RequestClass> classes = new ArrayList<>();
         for (Semantics kind : Semantics.values()) {
-            classes.add(new RequestClass(500 + rnd.nextInt(1000), rnd.nextInt(2), 2000 + rnd.nextInt(2000),
-                    1 + rnd.nextInt(5), rnd.nextInt(2) * 0.2, kind, 3000 + rnd.nextInt(4000), calls,
-                    rnd.nextInt(2) * 0.5));
+            classes.add(spec(rnd, kind, calls));
         }
         List<Tenant> tenants = rnd.nextBoolean() ? List.of() : List.of(new Tenant(20, 0.5), new Tenant(20, 0.5));
         Below below = calls ? Below.values()[1 + rnd.nextInt(2)] : Below.NONE;
@@ -43,11 +43,23 @@
                 1000, rnd.nextBoolean(), rnd.nextBoolean(), 0.1, 5, rnd.nextBoolean());
     }
 
+    private static RequestClass spec(Random rnd, Semantics kind, boolean calls) {
+        return new RequestClass(500 + rnd.nextInt(1000), rnd.nextInt(2), 2000 + rnd.nextInt(2000), 1 + rnd.nextInt(5),
+                rnd.nextInt(2) * 0.2, kind, 3000 + rnd.nextInt(4000), calls, rnd.nextInt(2) * 0.5);
+    }
+
     private static RuleChecker play(long seed, Function<Controller.Actions, Controller> factory) {
+        return play(seed, factory, 0);
+    }
+
+    /** {@code changes}: so many of a hundred events are preceded by a part of a change of classes and tenants. */
+    private static RuleChecker play(long seed, Function<Controller.Actions, Controller> factory, int changes) {
         Random rnd = new Random(seed);
         Settings set = settings(rnd);
         RuleChecker server = new RuleChecker(set);
         Controller c = factory.apply(server);
+        Random edits = new Random(-seed);
+        List<RequestClass> next = new ArrayList<>(server.classes);
         server.now = 1000;
         c.start(server.now, seed, set);
         double leaveAt = 9000;
@@ -60,6 +72,9 @@
                 server.drainedAt = server.now;
                 c.drain(server.now, leaveAt);
             }
+            if (edits.nextInt(100) < changes) {
+                change(edits, set, server, next, c);
+            }
             if (rnd.nextInt(100) < 40) {
                 arrive(rnd, set, server, c);
             }
@@ -75,15 +90,50 @@
         return server;
     }
 
+    /** Puts a class anew, changes one in place or takes one out, and now and then has all of it count or none. */
+    private static void change(Random rnd, Settings set, RuleChecker server, List<RequestClass> next, Controller c) {
+        int place = rnd.nextInt(8);
+        while (next.size() <= place) {
+            next.add(null);
+        }
+        boolean inUse = place < server.classes.size() && server.classes.get(place) != null;
+        boolean named = server.seen.values().stream().anyMatch(s -> s.request.classIndex() == place && !s.over)
+                || server.kept.keySet().stream().anyMatch(id -> server.seen.get(id).request.classIndex() == place);
+        if (rnd.nextInt(3) == 0) {
+            next.set(place, null);
+            c.stage(List.of(new ClassAt(place, null)), List.of());
+        } else if (inUse || !named) {
+            next.set(place, spec(rnd, Semantics.values()[place % 3], set.classes().get(0).calls()));
+            c.stage(List.of(new ClassAt(place, next.get(place))), List.of(new TenantAt(rnd.nextInt(2),
+                    rnd.nextInt(4) == 0 ? null : new Tenant(1 + rnd.nextInt(50), 0.1 + 0.5 * rnd.nextDouble()))));
+        }
+        switch (rnd.nextInt(4)) {
+            case 0 -> {
+                c.commit(server.now);
+                server.classes.clear();
+                server.classes.addAll(next);
+            }
+            case 1 -> {
+                c.unstage();
+                next.clear();
+                next.addAll(server.classes);
+            }
+            default -> { }
+        }
+    }
+
     private static void arrive(Random rnd, Settings set, RuleChecker server, Controller c) {
-        int cls = rnd.nextInt(3);
+        int cls = server.classes.size() > 3 ? rnd.nextInt(server.classes.size()) : rnd.nextInt(3);
+        if (server.classes.get(cls) == null) {
+            return;
+        }
         String key = cls + "-" + rnd.nextInt(40);
         double age = rnd.nextInt(30);
         double due = set.passesDeadline() ? server.now - age + 300 + rnd.nextInt(2500) : 0;
-        String repeats = cls == 2 || cls == 0 && set.freshFor() == 0 ? null : server.repeatOf(key, server.now - age);
+        String repeats = cls % 3 == 2 || cls % 3 == 0 && set.freshFor() == 0 ? null : server.repeatOf(key, server.now - age);
         Request r = new Request("r" + server.seen.size(), cls, set.tenants().isEmpty() ? 0 : rnd.nextInt(2),
                 rnd.nextInt(3), 5 + rnd.nextInt(40), due, age, rnd.nextDouble(), rnd.nextInt(300), key, repeats,
-                rnd.nextBoolean(), cls > 0);
+                rnd.nextBoolean(), cls % 3 > 0);
         server.arrive(r);
         c.request(server.now, r);
     }
@@ -127,6 +177,17 @@
         }
     }
 
+    @Test
+    void noRuleIsBrokenWhileClassesAndTenantsChange() {
+        int answered = 0;
+        for (long seed = 1; seed <= 150; seed++) {
+            RuleChecker server = play(seed, OverloadController::new, 30);
+            assertEquals(List.of(), server.broken, "seed " + seed);
+            answered += server.seen.values().stream().filter(s -> s.ran && s.request.classIndex() > 2).count();
+        }
+        assertTrue(answered > 1000, "ran at places put anew: " + answered);
+    }
+
     @Test
     void theSameEventsGiveTheSameActions() {
         for (long seed = 1; seed <= 5; seed++) {
--- a/src/test/java/tinroad/RuleChecker.java
+++ b/src/test/java/tinroad/RuleChecker.java
@@ -14,6 +14,7 @@
     /** What the server knows of one request. */
     static final class Seen {
         final Request request;
+        final Controller.RequestClass spec;
         final double arrived;
         final double due;
         int answers;
@@ -24,16 +25,20 @@
         boolean calling;
         String joined;
 
-        Seen(Request request, double arrived, double due) {
+        Seen(Request request, Controller.RequestClass spec, double arrived, double due) {
             this.request = request;
+            this.spec = spec;
             this.arrived = arrived;
             this.due = due;
         }
     }
 
     final Settings settings;
+    /** The classes as they stand now, by place; null where there is none. */
+    final List<Controller.RequestClass> classes;
     final Map<String, Seen> seen = new LinkedHashMap<>();
     final Map<String, Double> kept = new LinkedHashMap<>();
+    /** Until when a key may not run again: by the window of the class as it stood when the one that ran came. */
     final Map<String, Double> ranKeys = new LinkedHashMap<>();
     final List<String> broken = new ArrayList<>();
     final List<Double> lingering = new ArrayList<>();
@@ -42,12 +47,14 @@
 
     RuleChecker(Settings settings) {
         this.settings = settings;
+        classes = new ArrayList<>(settings.classes());
     }
 
     void arrive(Request r) {
         double arrived = now - r.age();
-        double due = settings.passesDeadline() ? r.due() : arrived + settings.classes().get(r.classIndex()).deadline();
-        seen.put(r.id(), new Seen(r, arrived, due));
+        Controller.RequestClass spec = classes.get(r.classIndex());
+        double due = settings.passesDeadline() ? r.due() : arrived + spec.deadline();
+        seen.put(r.id(), new Seen(r, spec, arrived, due));
     }
 
     /** The kept request that a new one with this key repeats if it arrived while the entry lived, or null. */
@@ -106,7 +113,7 @@
 
     @Override public void run(String id) {
         Seen s = seen.get(id);
-        Semantics kind = settings.classes().get(s.request.classIndex()).semantics();
+        Semantics kind = s.spec.semantics();
         if (s.over) {
             return;
         }
@@ -114,12 +121,11 @@
             broken.add("duplicate " + id);
         }
         if (kind == Semantics.GUARDED) {
-            Double last = ranKeys.get(s.request.key());
-            double window = settings.classes().get(s.request.classIndex()).keyWindow();
-            if (last != null && s.arrived - last <= window) {
+            Double until = ranKeys.get(s.request.key());
+            if (until != null && s.arrived <= until) {
                 broken.add("duplicate key " + s.request.key());
             }
-            ranKeys.put(s.request.key(), s.arrived);
+            ranKeys.put(s.request.key(), s.arrived + s.spec.keyWindow());
         }
         if (s.arrived > drainedAt + settings.rules().drainGrace()) {
             broken.add("drain: ran " + id);
@@ -130,7 +136,7 @@
 
     @Override public void refuse(String id, double stayAway, boolean last) {
         Seen s = seen.get(id);
-        boolean effect = settings.classes().get(s.request.classIndex()).semantics() != Semantics.FREE;
+        boolean effect = s.spec.semantics() != Semantics.FREE;
         if (effect && (s.ran || s.joined != null)) {
             broken.add("duplicate: refused after a run " + id);
         }
@@ -174,7 +180,7 @@
 
     @Override public void skip(String id) {
         Seen s = seen.get(id);
-        if (settings.classes().get(s.request.classIndex()).skipWorth() == 0) {
+        if (s.spec.skipWorth() == 0) {
             broken.add("fault: skip");
         }
         s.atCall = false;
