Keep what is learned by version in the module, so that a commit costs nothing for each entry

Change: the table of what is measured belongs to the version, as the specs do, and its entries are dropped while staging; the list of what has samples is gone, export goes over the chunks in use.

--- a/src/main/java/tinroad/ClassStats.java
+++ b/src/main/java/tinroad/ClassStats.java
@@ -23,8 +23,8 @@
     double away;
     double runs;
     double calmRuns;
-    /** Where it stands among those with samples or a memory of them; -1: nowhere. */
-    int known = -1;
+    /** There are samples, or a memory of them. */
+    boolean known;
     /** What it was asked and served lately, faded up to a time. */
     double asked;
     double served;
--- a/src/main/java/tinroad/Classes.java
+++ b/src/main/java/tinroad/Classes.java
@@ -13,9 +13,10 @@
  * Knows the time only from {@link #advance}, and nothing of what the sums are used for.
  */
 final class Classes {
-    /** The specs of one version, and the sums over them. */
+    /** The specs of one version, what is measured of them, where there is anything, and the sums. */
     private static final class Version {
         final Places<RequestClass> specs;
+        final Places<ClassStats> stats;
         int size;
         final Sum run;
         final Sum calm;
@@ -24,6 +25,7 @@
 
         Version() {
             specs = new Places<>();
+            stats = new Places<>();
             run = new Sum();
             calm = new Sum();
             asked = new Sum();
@@ -32,6 +34,7 @@
 
         Version(Version before) {
             specs = before.specs.next();
+            stats = before.stats.next();
             size = before.size;
             run = new Sum(before.run);
             calm = new Sum(before.calm);
@@ -48,15 +51,10 @@
     private final Learned learned;
     private final double span;
     private final boolean worthByWork;
-    /** What is measured of them, where there is anything. */
-    private final Places<ClassStats> stats = new Places<>();
-    private final List<ClassStats> known = new ArrayList<>();
     /** Nothing was asked, changed or restored yet. */
     private boolean untouched = true;
     private Version now = new Version();
     private Version staged;
-    /** Staged places that had no class when something was learned there. */
-    private final List<Integer> anew = new ArrayList<>();
     private double clock;
     private final Telling telling;
 
@@ -96,7 +94,16 @@
      * is what a memory may be of.
      */
     List<ClassStats> known() {
-        return untouched ? IntStream.range(0, now.specs.size()).mapToObj(learned::nothing).toList() : known;
+        if (untouched) {
+            return IntStream.range(0, now.specs.size()).mapToObj(learned::nothing).toList();
+        }
+        List<ClassStats> known = new ArrayList<>();
+        now.stats.forEach(s -> {
+            if (s.known) {
+                known.add(s);
+            }
+        });
+        return known;
     }
 
     /** How many there are. */
@@ -167,22 +174,23 @@
         addWhereCounted(s, -1);
         how.accept(s, c);
         addWhereCounted(s, 1);
-        if (s.known < 0 && stats.get(s.place) == s) {
-            s.known = known.size();
-            known.add(s);
-        }
+        s.known = true;
     }
 
     private ClassStats measured(int place) {
         untouched = false;
-        if (stats.get(place) == null) {
-            stats.set(place, learned.nothing(place));
+        ClassStats s = now.stats.get(place);
+        if (s == null) {
+            s = learned.nothing(place);
+            now.stats.set(place, s);
+            if (staged != null) {
+                staged.stats.set(place, s);
+            }
         }
-        return stats.get(place);
+        return s;
     }
 
     private void addWhereCounted(ClassStats s, int sign) {
-        // What was staged anew at a place that counted nothing has nothing of this.
         if (counts(s)) {
             add(now, at(s.place), s, sign);
             if (staged != null) {
@@ -192,7 +200,7 @@
     }
 
     private boolean counts(ClassStats s) {
-        return at(s.place) != null && stats.get(s.place) == s;
+        return at(s.place) != null && now.stats.get(s.place) == s;
     }
 
     private void add(Version v, RequestClass c, ClassStats s, int sign) {
@@ -216,12 +224,12 @@
         untouched = false;
         staged = staged == null ? new Version(now) : staged;
         for (ClassAt change : changes) {
-            boolean before = at(change.place()) != null;
-            ClassStats s = stats.get(change.place());
-            if (!before && s != null) {
-                anew.add(change.place());
+            int place = change.place();
+            if (change.spec() != null && at(place) == null && staged.stats.get(place) != null) {
+                // Whatever was learned there is of another class.
+                staged.stats.set(place, null);
             }
-            put(staged, change.place(), change.spec(), before ? s : null);
+            put(staged, place, change.spec(), staged.stats.get(place));
         }
     }
 
@@ -241,33 +249,17 @@
         if (staged != null) {
             now = staged;
             staged = null;
-            anew.removeIf(place -> at(place) == null);
-            anew.forEach(this::forget);
-            anew.clear();
             telling.retain(this::counts);
         }
     }
 
-    private void forget(int place) {
-        ClassStats s = stats.get(place);
-        stats.set(place, null);
-        if (s != null && s.known >= 0) {
-            ClassStats last = known.remove(known.size() - 1);
-            if (last != s) {
-                known.set(s.known, last);
-                last.known = s.known;
-            }
-        }
-    }
-
     /** It does not. */
     void unstage() {
         staged = null;
-        anew.clear();
     }
 
     /** How often a place was read. */
     long reads() {
-        return now.specs.reads() + stats.reads();
+        return now.specs.reads() + now.stats.reads();
     }
 }
--- a/src/main/java/tinroad/Places.java
+++ b/src/main/java/tinroad/Places.java
@@ -2,6 +2,7 @@
 
 import java.util.Arrays;
 import java.util.List;
+import java.util.function.Consumer;
 
 /**
  * Values by place, in chunks, so that a later version of a large table shares with the one before all chunks but those that it
@@ -40,7 +41,7 @@
         return all;
     }
 
-    /** The next version, which is this one until something is set in it. Nothing may be set in this one afterwards. */
+    /** The next version, which is this one until something is set in it; what is set in this one afterwards it may see or not. */
     Places<T> next() {
         Places<T> next = new Places<>(chunks.clone(), size);
         next.reads = reads;
@@ -74,6 +75,19 @@
         size = Math.max(size, place + 1);
     }
 
+    /** Goes over all values, without a look at chunks never used. */
+    @SuppressWarnings("unchecked")
+    void forEach(Consumer<T> what) {
+        for (Object[] chunk : chunks) {
+            for (int i = 0; chunk != null && i < CHUNK; i++) {
+                reads++;
+                if (chunk[i] != null) {
+                    what.accept((T) chunk[i]);
+                }
+            }
+        }
+    }
+
     /** One more than the highest place ever set. */
     int size() {
         return size;
