--- /dev/null
+++ b/src/main/java/tinroad/changelog/ChangeFolder.java
@@ -0,0 +1,184 @@
+package tinroad.changelog;
+
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.ByteBuffer;
+import java.nio.channels.Channels;
+import java.nio.channels.FileChannel;
+import java.nio.file.DirectoryStream;
+import java.nio.file.FileAlreadyExistsException;
+import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
+import java.nio.file.NotDirectoryException;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.nio.file.attribute.BasicFileAttributes;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.UUID;
+import tinroad.catalog.Change;
+import tinroad.config.Faults;
+
+/**
+ * The files of a change log. A batch is written beside, forced to the disk, and linked to its name: a name stands for a whole file
+ * or for none, and is taken once, whoever comes second. Guards against two publishers, and against a folder that grows for ever.
+ */
+public final class ChangeFolder {
+    /** Batches that are kept unless told otherwise: some hours at 2,400 a day. */
+    public static final int KEEP = 512;
+    private static final String PART = ".part";
+
+    private final Path folder;
+    private final int keep;
+
+    /** A log in {@code folder}; an append leaves the newest {@code keep}, at least 1. */
+    public ChangeFolder(Path folder, int keep) {
+        this.folder = folder;
+        this.keep = Math.max(1, keep);
+    }
+
+    /** A batch that was read: what can't be meant of it stands in the faults. */
+    public record Batch(Change change, Faults faults) { }
+
+    /** All positions that there are, in order. */
+    public List<Position> positions() throws IOException {
+        List<Position> found = new ArrayList<>();
+        try (DirectoryStream<Path> all = Files.newDirectoryStream(folder)) {
+            for (Path file : all) {
+                Position p = Position.of(file.getFileName().toString());
+                if (p != null) {
+                    found.add(p);
+                }
+            }
+        } catch (NotDirectoryException e) {
+            throw new NoSuchFileException(folder.toString());
+        }
+        found.sort(null);
+        return found;
+    }
+
+    /** The change at this position; a {@link DamagedException} where the file holds none. */
+    public Batch read(Position at) throws IOException {
+        try (InputStream in = open(at)) {
+            return ChangeEncoding.read(in, at);
+        }
+    }
+
+    /** The change at this position without its entries: the hashes of the contents before and after. */
+    Change head(Position at) throws IOException {
+        try (InputStream in = open(at)) {
+            return ChangeEncoding.readHead(in);
+        }
+    }
+
+    /** The latest position at which the content had this hash; null where no change that is there leads to it or from it. */
+    public Position locate(String hash) throws IOException {
+        List<Position> there = positions();
+        for (int i = there.size() - 1; i >= 0; i--) {
+            Position at = there.get(i);
+            try {
+                Change c = head(at);
+                if (hash.equals(c.after())) {
+                    return at;
+                }
+                if (hash.equals(c.before())) {
+                    return new Position(at.epoch(), at.number() - 1);
+                }
+            } catch (DamagedException | NoSuchFileException e) {
+                // Told when it is its turn, or pruned in this moment.
+            }
+        }
+        return null;
+    }
+
+    private InputStream open(Position at) throws IOException {
+        Path file = folder.resolve(at.file());
+        if (Files.size(file) > ChangeEncoding.LONGEST) {
+            throw new DamagedException("it is longer than " + ChangeEncoding.LONGEST + " bytes");
+        }
+        return new BufferedInputStream(Channels.newInputStream(FileChannel.open(file, StandardOpenOption.READ)));
+    }
+
+    /** What tells whether a name stands for the same file as before; null where there is none. */
+    Object stamp(Position at) throws IOException {
+        return stamp(folder.resolve(at.file()));
+    }
+
+    /** The same of the folder. */
+    Object stamp() throws IOException {
+        return stamp(folder);
+    }
+
+    private static Object stamp(Path file) throws IOException {
+        try {
+            BasicFileAttributes a = Files.readAttributes(file, BasicFileAttributes.class);
+            return List.of(a.lastModifiedTime(), a.size(), String.valueOf(a.fileKey()));
+        } catch (NoSuchFileException e) {
+            return null;
+        }
+    }
+
+    /**
+     * Writes the change that follows the newest one; returns only once it lasts. An {@link IOException} tells why not: it does not
+     * follow, or another publisher took its number.
+     */
+    public void append(Change c) throws IOException {
+        Files.createDirectories(folder);
+        Position at = new Position(c.epoch(), c.number());
+        List<Position> there = positions();
+        Position newest = there.isEmpty() ? null : there.get(there.size() - 1);
+        if (newest != null) {
+            if (newest.compareTo(at) >= 0) {
+                throw new IOException("change " + at + " is taken, or its epoch is over: the newest is " + newest);
+            }
+            if (!at.follows(newest)) {
+                throw new IOException("change " + at + " does not follow the newest, " + newest);
+            }
+            String after = read(newest).change().after();
+            if (!after.equals(c.before())) {
+                throw new IOException("change " + at + " leads on from content " + c.before() + ", and the newest, " + newest + ", led to " + after);
+            }
+        }
+        link(at, ChangeEncoding.write(c));
+        prune();
+    }
+
+    private void link(Position at, byte[] bytes) throws IOException {
+        Path part = folder.resolve(at.file() + "-" + UUID.randomUUID() + PART);
+        try {
+            try (FileChannel out = FileChannel.open(part, StandardOpenOption.CREATE_NEW, StandardOpenOption.WRITE)) {
+                ByteBuffer left = ByteBuffer.wrap(bytes);
+                while (left.hasRemaining()) {
+                    out.write(left);
+                }
+                out.force(true);
+            }
+            // Not a rename, which would replace what another publisher wrote in the same moment.
+            Files.createLink(folder.resolve(at.file()), part);
+        } catch (FileAlreadyExistsException e) {
+            throw new IOException("change " + at + " was written by another publisher in the same moment");
+        } finally {
+            Files.deleteIfExists(part);
+        }
+        try (FileChannel directory = FileChannel.open(folder, StandardOpenOption.READ)) {
+            directory.force(true);
+        }
+    }
+
+    /** Deletes what is beyond the newest few, and what killed publishers left half written. */
+    private void prune() throws IOException {
+        List<Position> there = positions();
+        for (Position old : there.subList(0, Math.max(0, there.size() - keep))) {
+            Files.deleteIfExists(folder.resolve(old.file()));
+        }
+        String newest = there.get(there.size() - 1).file();
+        try (DirectoryStream<Path> parts = Files.newDirectoryStream(folder, "change-*" + PART)) {
+            for (Path part : parts) {
+                if (part.getFileName().toString().compareTo(newest) < 0) {
+                    Files.deleteIfExists(part);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/tinroad/changelog/LogFollower.java
@@ -0,0 +1,238 @@
+package tinroad.changelog;
+
+import java.io.IOException;
+import java.nio.file.NoSuchFileException;
+import java.util.List;
+import tinroad.catalog.Catalog;
+import tinroad.catalog.Change;
+import tinroad.catalog.Editor;
+import tinroad.catalog.Editor.Outcome;
+import tinroad.catalog.Whole;
+
+/**
+ * Follows a change log, a change at a time and in order. Where the log can't be followed, the catalog that serves stays, and one line
+ * tells why, once until it changes. A look that finds nothing costs two questions to the file system: the next name, and whether the
+ * folder changed; names are listed only then, and now and again all the same. Used by one thread, which owns the editor, too.
+ */
+public final class LogFollower {
+    /** Looks after which the folder is listed, and a refused change is tried again, though nothing seems to have changed. */
+    static final int ANYWAY = 64;
+
+    private final ChangeFolder folder;
+    private final String name;
+    /** What an earlier life had: the log may not end before it. */
+    private Position least;
+    /** The last position under the epoch before this one. */
+    private Position over;
+    private Position newest;
+    private String told;
+    private List<Object> listed = List.of();
+    private boolean settled;
+    private List<Object> tried = List.of();
+    private int looks;
+
+    /**
+     * Follows the log in {@code folder}, which lines call {@code name}.
+     *
+     * @param least the last position that is known to have been there, from an earlier life; null: not known
+     */
+    public LogFollower(ChangeFolder folder, String name, Position least) {
+        this.folder = folder;
+        this.name = name;
+        this.least = least;
+    }
+
+    /** What one look led to; both null: nothing new. {@code line} is one for the operators' log. */
+    public record Step(Outcome.Taken taken, String line) {
+        static final Step NOTHING = new Step(null, null);
+    }
+
+    /** What can't be followed; the message is the line. */
+    private static final class TroubleException extends Exception {
+        private static final long serialVersionUID = 1L;
+
+        TroubleException(String line) {
+            super(line);
+        }
+    }
+
+    /** The same content as the version of the log that it is; unchanged where the log does not know it, or can't be read. */
+    public Catalog locate(Catalog read) {
+        try {
+            Position at = folder.locate(read.hash());
+            return at == null ? read : read.at(at.epoch(), at.number());
+        } catch (IOException e) {
+            // Told by the first step.
+            return read;
+        }
+    }
+
+    /** The newest change that the log was seen to hold; null: none was seen. */
+    public Position newest() {
+        return newest;
+    }
+
+    /** Why the log can't be followed; null where it can. */
+    public String trouble() {
+        return told;
+    }
+
+    /** Takes the next change into the editor, if it is there and can be taken. */
+    public Step step(Editor editor) {
+        looks++;
+        try {
+            return look(editor);
+        } catch (TroubleException e) {
+            return tell(e.getMessage());
+        } catch (NoSuchFileException e) {
+            return tell(name + " is not there");
+        } catch (IOException e) {
+            return tell(name + " can't be read: " + e);
+        }
+    }
+
+    private Step tell(String line) {
+        if (line.equals(told)) {
+            return Step.NOTHING;
+        }
+        told = line;
+        return new Step(null, line);
+    }
+
+    private Step look(Editor editor) throws IOException, TroubleException {
+        Position at = position(editor.current());
+        Position next = at.next();
+        Object stamp = folder.stamp(next);
+        if (stamp != null) {
+            return take(editor, next, stamp);
+        }
+        List<Object> seen = List.of(String.valueOf(folder.stamp()), at);
+        boolean same = seen.equals(listed);
+        if (same && settled && looks % ANYWAY != 0) {
+            return Step.NOTHING;
+        }
+        // Once more after each change: what comes within one tick of the folder's time leaves no trace in it.
+        settled = same;
+        listed = seen;
+        return list(editor, at);
+    }
+
+    private Step list(Editor editor, Position at) throws IOException, TroubleException {
+        List<Position> there = folder.positions();
+        Position last = there.isEmpty() ? null : there.get(there.size() - 1);
+        newest = last;
+        Position following = there.stream().filter(p -> p.compareTo(at) > 0).findFirst().orElse(null);
+        if (following != null && following.follows(at)) {
+            return take(editor, following, folder.stamp(following));
+        }
+        if (following != null) {
+            throw new TroubleException(name + ": " + at.next() + " is missing, the oldest change after it is " + following
+                    + ": the settings file as it is now has to be read, by SIGHUP");
+        }
+        if (there.contains(at) && !editor.current().hash().equals(folder.head(at).after())) {
+            throw new TroubleException(diverged(at, editor.current().hash()));
+        }
+        for (Position p : there) {
+            if (over != null && p.epoch() < at.epoch() && p.compareTo(over) > 0) {
+                throw new TroubleException(name + ": change " + p + " came after its epoch was over: not taken, "
+                        + at.epoch() + " goes on");
+            }
+        }
+        Position had = least != null && least.compareTo(at) > 0 ? least : at;
+        if (had.epoch() > 0 && (last == null || last.compareTo(had) < 0)) {
+            throw new TroubleException(name + " was rolled back: " + had + " was taken, and " + (last == null ? "it is empty"
+                    : "the newest is " + last));
+        }
+        least = null;
+        if (told != null) {
+            told = null;
+            return new Step(null, name + " is followed again from " + at);
+        }
+        return Step.NOTHING;
+    }
+
+    private Step take(Editor editor, Position p, Object stamp) throws IOException, TroubleException {
+        List<Object> attempt = List.of(p, String.valueOf(stamp), editor.current().hash());
+        if (attempt.equals(tried) && looks % ANYWAY != 0) {
+            return Step.NOTHING;
+        }
+        tried = attempt;
+        ChangeFolder.Batch batch;
+        try {
+            batch = folder.read(p);
+        } catch (DamagedException e) {
+            throw new TroubleException(name + ": change " + p + " is damaged: " + e.getMessage());
+        } catch (NoSuchFileException e) {
+            // Pruned in this moment; the next look finds what is left.
+            tried = List.of();
+            return Step.NOTHING;
+        }
+        if (!batch.faults().isEmpty()) {
+            throw new TroubleException(refused(p, batch.faults().lines()));
+        }
+        Position before = position(editor.current());
+        Outcome outcome = editor.offer(batch.change());
+        if (!(outcome instanceof Outcome.Taken taken)) {
+            throw new TroubleException(line(batch.change(), outcome));
+        }
+        over = p.epoch() > before.epoch() && before.epoch() > 0 ? before : over;
+        newest = newest == null || newest.compareTo(p) < 0 ? p : newest;
+        told = null;
+        return new Step(taken, null);
+    }
+
+    /**
+     * Takes a settings file that was read again. The log leads: of a file that differs from what serves only one is taken whose
+     * content the log knows as a later one, or any while the log is empty.
+     */
+    public Step whole(Editor editor, Whole file) {
+        Position at = position(editor.current());
+        Change next = file.change(at.epoch(), at.number() + 1);
+        if (next.size() == 0) {
+            return Step.NOTHING;
+        }
+        try {
+            Position known = folder.locate(next.after());
+            if (known == null && !folder.positions().isEmpty()) {
+                return new Step(null, "settings file not taken: " + name + " knows no change to its content, " + next.after());
+            }
+            if (known != null && known.compareTo(at) <= 0) {
+                return new Step(null, "settings file not taken: it is that of " + known + ", and " + at + " serves");
+            }
+            Change change = known == null ? next : file.change(known.epoch(), known.number());
+            Outcome outcome = editor.offerWhole(change);
+            return outcome instanceof Outcome.Taken taken ? new Step(taken, null) : new Step(null, "settings file not taken: " + line(change, outcome));
+        } catch (IOException e) {
+            return new Step(null, "settings file not taken: " + name + " can't be read: " + e);
+        }
+    }
+
+    private static Position position(Catalog c) {
+        return new Position(c.epoch(), c.number());
+    }
+
+    private static String refused(Position p, List<String> faults) {
+        return "change " + p + " refused: " + faults.get(0) + (faults.size() > 1 ? " (and more: 'tinroad catalog check' tells all)" : "");
+    }
+
+    private static String diverged(Position p, String known) {
+        return "change " + p + " belongs to another content than " + known
+                + ", which serves: two publish with one epoch, the log was rewritten, or the settings file is another one's";
+    }
+
+    /** What became of a change, in one line. */
+    public static String line(Change c, Outcome outcome) {
+        Position p = new Position(c.epoch(), c.number());
+        // No switch over patterns in Java 17.
+        if (outcome instanceof Outcome.Refused refused) {
+            return refused(p, refused.faults());
+        } else if (outcome instanceof Outcome.Fenced fenced) {
+            return "change " + p + " refused: its epoch is over, " + fenced.epoch() + " goes on";
+        } else if (outcome instanceof Outcome.Gap gap) {
+            return "change " + p + " refused: " + gap.missing() + " is missing before it";
+        } else if (outcome instanceof Outcome.Diverged diverged) {
+            return diverged(p, diverged.known());
+        }
+        return "change " + p + (outcome instanceof Outcome.Taken ? " taken" : " was taken before");
+    }
+}
--- /dev/null
+++ b/src/main/java/tinroad/cli/CatalogCommand.java
@@ -0,0 +1,224 @@
+package tinroad.cli;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.function.Function;
+import org.kohsuke.args4j.Argument;
+import org.kohsuke.args4j.Option;
+import tinroad.Controller.RequestClass;
+import tinroad.Controller.Tenant;
+import tinroad.catalog.Catalog;
+import tinroad.catalog.Change;
+import tinroad.catalog.Editor;
+import tinroad.catalog.Editor.Outcome;
+import tinroad.catalog.Entry;
+import tinroad.catalog.Whole;
+import tinroad.changelog.ChangeFolder;
+import tinroad.changelog.LogFollower;
+import tinroad.changelog.Position;
+import tinroad.config.ConfigException;
+import tinroad.config.GatewayConfig;
+import tinroad.config.SettingsCheck;
+import tinroad.config.SiteWriter;
+
+/** {@code catalog}: routes and tenants of configuration files, what differs between two, and the log of their changes. */
+public final class CatalogCommand extends Command {
+    private static final int ENTRIES = 100;
+
+    /** What is wanted. */
+    enum Act {
+        SHOW(1, "FILE"), DIFF(2, "OLD NEW"), CHECK(1, "FILE or FOLDER"), PUBLISH(3, "OLD NEW FOLDER");
+
+        private final int paths;
+        private final String names;
+
+        Act(int paths, String names) {
+            this.paths = paths;
+            this.names = names;
+        }
+    }
+
+    @Argument(index = 0, metaVar = "show|diff|check|publish", required = true,
+            usage = "show FILE: what is in a configuration; diff OLD NEW: what would change; check FILE or FOLDER: whether it can be used; "
+                    + "publish OLD NEW FOLDER: write what differs as the next change of a log")
+    private Act act;
+
+    @Argument(index = 1, metaVar = "PATH", required = true, usage = "configuration files, and the folder of a change log")
+    private List<String> paths = new ArrayList<>();
+
+    @Option(name = "--output", usage = "table or json")
+    private Output output = Output.TABLE;
+
+    @Option(name = "--epoch", metaVar = "N", usage = "publish: the publisher's epoch, 1 or above (default: that of the newest change); a higher one "
+            + "ends the earlier ones")
+    private Long epoch;
+
+    @Option(name = "--keep", metaVar = "N", usage = "publish: newest changes that stay in the folder")
+    private int keep = ChangeFolder.KEEP;
+
+    @Override
+    About about() {
+        return new About("shows, compares and checks routes and tenants of configuration files, and publishes changes",
+                "tinroad catalog publish config.old.json config.json /var/lib/tinroad/changes", "0  done; all can be used",
+                "1  a file can't be read or used, or the change was refused, a line for each fault", "2  wrong arguments");
+    }
+
+    @Override
+    int run(InputStream in, PrintStream out, PrintStream err) {
+        if (paths.size() != act.paths || epoch != null && epoch < 1 || keep < 1) {
+            err.println("tinroad: catalog " + act.name().toLowerCase(Locale.ROOT) + " takes " + act.names
+                    + ", and numbers from 1 on ('tinroad help catalog' tells more)");
+            return WRONG;
+        }
+        try {
+            switch (act) {
+                case SHOW -> show(out);
+                case DIFF -> diff(out);
+                case CHECK -> {
+                    if (Files.isDirectory(Path.of(paths.get(0)))) {
+                        return checkLog(out);
+                    }
+                    Catalog c = read(paths.get(0));
+                    out.println("ok: " + c.routes() + " classes, " + c.tenants() + " orgs, content " + c.hash());
+                }
+                default -> publish(out);
+            }
+            return FINE;
+        } catch (ConfigException e) {
+            e.getMessage().lines().forEach(fault -> err.println("tinroad: " + fault));
+        } catch (NoSuchFileException e) {
+            err.println("tinroad: " + e.getMessage() + ": no such file or folder");
+        } catch (IOException e) {
+            err.println("tinroad: " + e.getMessage());
+        }
+        return FAILED;
+    }
+
+    private static Catalog read(String file) throws ConfigException {
+        GatewayConfig c = GatewayConfig.read(Path.of(file));
+        return Catalog.of(0, 0, c.site().classNames(), c.site().settings().classes(), c.site().tenantNames(), c.site().settings().tenants());
+    }
+
+    /** What leads from a version to a file; the file is never held whole. */
+    private static Change change(Catalog from, String file, Position as) throws ConfigException {
+        Whole whole = new Whole(from);
+        GatewayConfig.read(Path.of(file), whole);
+        return whole.change(as.epoch(), as.number());
+    }
+
+    private void show(PrintStream out) throws ConfigException, IOException {
+        Catalog c = read(paths.get(0));
+        output.print(List.of("what", "value"), List.of(List.of("classes", c.routes()), List.of("orgs", c.tenants()),
+                List.of("content", c.hash()), List.of("bytes", Files.size(Path.of(paths.get(0))))), out);
+    }
+
+    private void diff(PrintStream out) throws ConfigException {
+        Catalog old = read(paths.get(0));
+        Change c = change(old, paths.get(1), new Position(0, 1));
+        List<List<Object>> rows = new ArrayList<>();
+        rows("class", c.putRoutes(), c.removedRoutes(), old::route, CatalogCommand::fields, rows);
+        rows("org", c.putTenants(), c.removedTenants(), old::tenant, SiteWriter::fields, rows);
+        int more = rows.size() - ENTRIES;
+        if (more > 0) {
+            rows.subList(ENTRIES, rows.size()).clear();
+            rows.add(List.of("", "and " + more + " more", "", "", ""));
+        }
+        output.print(List.of("entry", "name", "change", "from", "to"), rows, out);
+    }
+
+    private static Map<String, Object> fields(RequestClass c) {
+        Map<String, Object> fields = new LinkedHashMap<>(SiteWriter.fields(c));
+        fields.put("class_calls", c.calls());
+        fields.put("degraded_worth", c.skipWorth());
+        return fields;
+    }
+
+    private static <S> void rows(String word, Map<String, S> put, Set<String> removed, Function<String, ? extends Entry<S>> old,
+            Function<S, Map<String, Object>> fields, List<List<Object>> rows) {
+        for (String name : new TreeSet<>(removed)) {
+            rows.add(List.of(word, SettingsCheck.shown(name), "removed", "", ""));
+        }
+        for (Map.Entry<String, S> e : new TreeMap<>(put).entrySet()) {
+            Entry<S> before = old.apply(e.getKey());
+            Map<String, Object> from = before == null ? Map.of() : fields.apply(before.spec());
+            Map<String, Object> to = fields.apply(e.getValue());
+            rows.add(List.of(word, SettingsCheck.shown(e.getKey()), before == null ? "new" : "changed", unlike(from, to), unlike(to, from)));
+        }
+    }
+
+    /** What {@code one} says otherwise than {@code other}. */
+    private static String unlike(Map<String, Object> one, Map<String, Object> other) {
+        Map<String, Object> rest = new LinkedHashMap<>(one);
+        rest.entrySet().removeIf(e -> e.getValue().equals(other.get(e.getKey())));
+        return rest.toString().replaceAll("^.|.$", "");
+    }
+
+    /** Each file by itself, and whether each leads on from the one before. */
+    private int checkLog(PrintStream out) throws IOException {
+        ChangeFolder folder = new ChangeFolder(Path.of(paths.get(0)), keep);
+        List<List<Object>> rows = new ArrayList<>();
+        boolean good = true;
+        Position last = null;
+        String content = null;
+        for (Position at : folder.positions()) {
+            String is = "good";
+            int size = 0;
+            try {
+                ChangeFolder.Batch batch = folder.read(at);
+                Change c = batch.change();
+                size = c.size();
+                if (!batch.faults().isEmpty()) {
+                    is = String.join("; ", batch.faults().lines());
+                } else if (last != null && !at.follows(last)) {
+                    is = "does not follow " + last;
+                } else if (content != null && !content.equals(c.before())) {
+                    is = "leads on from content " + c.before() + ", and " + last + " led to " + content;
+                }
+                content = c.after();
+            } catch (IOException e) {
+                is = "damaged: " + e.getMessage();
+                content = null;
+            }
+            good &= is.equals("good");
+            last = at;
+            rows.add(List.of(at.toString(), is, size, content == null ? "" : content));
+        }
+        output.print(List.of("change", "is", "entries", "content"), rows, out);
+        return good ? FINE : FAILED;
+    }
+
+    private void publish(PrintStream out) throws ConfigException, IOException {
+        Path folder = Path.of(paths.get(2));
+        ChangeFolder log = new ChangeFolder(folder, keep);
+        List<Position> there = Files.isDirectory(folder) ? log.positions() : List.of();
+        Position newest = there.isEmpty() ? new Position(epoch == null ? 1 : epoch, 0) : there.get(there.size() - 1);
+        Position next = epoch == null || epoch == newest.epoch() ? newest.next() : new Position(epoch, 1);
+        Catalog old = read(paths.get(0)).at(newest.epoch(), newest.number());
+        Change c = change(old, paths.get(1), next);
+        if (c.size() == 0) {
+            out.println("nothing differs: no change written");
+            return;
+        }
+        // As a gateway would take it: what it would refuse is not written.
+        Outcome outcome = new Editor(old).offer(c);
+        if (outcome instanceof Outcome.Refused refused) {
+            throw new ConfigException(String.join("\n", refused.faults()));
+        } else if (!(outcome instanceof Outcome.Taken)) {
+            throw new IOException(LogFollower.line(c, outcome));
+        }
+        log.append(c);
+        out.println("change " + next + " written: " + c.size() + " entries, content " + c.after());
+    }
+}
--- a/src/main/java/tinroad/cli/Main.java
+++ b/src/main/java/tinroad/cli/Main.java
@@ -25,6 +25,7 @@
         COMMANDS.put("wirehost", WireHost::new);
         COMMANDS.put("lab", LabCommand::new);
         COMMANDS.put("state", StateCommand::new);
+        COMMANDS.put("catalog", CatalogCommand::new);
         COMMANDS.put("help", Help::new);
         COMMANDS.put("completion", Completion::new);
         COMMANDS.put("version", Version::new);
--- a/src/main/java/tinroad/config/SiteReader.java
+++ b/src/main/java/tinroad/config/SiteReader.java
@@ -80,6 +80,16 @@
         return reader.site();
     }
 
+    /** Hands out classes and tenants of the object that the parser stands on, in one pass; what can't be meant becomes a fault. */
+    public static void read(JsonParser in, SiteVisitor visitor, Faults faults) throws IOException {
+        SiteReader reader = new SiteReader(visitor);
+        reader.pass(in);
+        if (reader.classesWait) {
+            faults.add("classes come before family_info");
+        }
+        faults.addAll(reader.faults(reader.site()));
+    }
+
     /** Reads all but classes that can't be told yet. */
     void pass(JsonParser parser) throws IOException {
         in = parser;
--- /dev/null
+++ b/src/main/java/tinroad/config/SiteWriter.java
@@ -0,0 +1,90 @@
+package tinroad.config;
+
+import com.fasterxml.jackson.core.JsonGenerator;
+import java.io.IOException;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+import tinroad.Controller.RequestClass;
+import tinroad.Controller.Tenant;
+
+/** Writes classes and tenants in the words of the settings, by name, so that {@link SiteReader} reads the same again. */
+public final class SiteWriter {
+    private SiteWriter() { }
+
+    /** Writes an object: what {@code family_info} says of classes comes before them. */
+    public static void write(JsonGenerator out, Map<String, RequestClass> classes, Map<String, Tenant> tenants) throws IOException {
+        Map<String, RequestClass> sorted = new TreeMap<>(classes);
+        out.writeStartObject();
+        info(out, sorted.values());
+        out.writeArrayFieldStart("classes");
+        for (Map.Entry<String, RequestClass> e : sorted.entrySet()) {
+            entry(out, e.getKey(), fields(e.getValue()));
+        }
+        out.writeEndArray();
+        out.writeArrayFieldStart("orgs");
+        for (Map.Entry<String, Tenant> e : new TreeMap<>(tenants).entrySet()) {
+            entry(out, e.getKey(), fields(e.getValue()));
+        }
+        out.writeEndArray();
+        out.writeEndObject();
+    }
+
+    /** What the settings say of a class, but for what {@code family_info} says; what an absent field stands for is left out. */
+    public static Map<String, Object> fields(RequestClass c) {
+        Map<String, Object> fields = new LinkedHashMap<>();
+        number(fields, "objective", c.aim());
+        number(fields, "aim_stretch", c.aimStretch());
+        number(fields, "deadline", c.deadline());
+        number(fields, "gain", c.worth());
+        number(fields, "late_share", c.lateShare());
+        number(fields, "key_ttl", c.keyWindow());
+        fields.put("semantics", c.semantics().name().toLowerCase(Locale.ROOT));
+        return fields;
+    }
+
+    /** The same of a tenant. */
+    public static Map<String, Object> fields(Tenant t) {
+        Map<String, Object> fields = new LinkedHashMap<>();
+        number(fields, "quota_per_s", t.quotaPerSecond());
+        number(fields, "share", t.share());
+        return fields;
+    }
+
+    private static void number(Map<String, Object> fields, String field, double value) {
+        if (Double.compare(value, 0) != 0) {
+            fields.put(field, value);
+        }
+    }
+
+    private static void entry(JsonGenerator out, String name, Map<String, Object> fields) throws IOException {
+        out.writeStartObject();
+        out.writeStringField("name", name);
+        for (Map.Entry<String, Object> e : fields.entrySet()) {
+            out.writeObjectField(e.getKey(), e.getValue());
+        }
+        out.writeEndObject();
+    }
+
+    private static void info(JsonGenerator out, Collection<RequestClass> classes) throws IOException {
+        out.writeObjectFieldStart("family_info");
+        if (classes.stream().noneMatch(c -> c.calls() || Double.compare(c.skipWorth(), 0) != 0)) {
+            // Nothing to say; but said before the classes, so that their reader need not wait for it.
+            out.writeEndObject();
+            return;
+        }
+        out.writeArrayFieldStart("class_calls");
+        for (RequestClass c : classes) {
+            out.writeBoolean(c.calls());
+        }
+        out.writeEndArray();
+        out.writeArrayFieldStart("degraded_worth");
+        for (RequestClass c : classes) {
+            out.writeNumber(c.skipWorth());
+        }
+        out.writeEndArray();
+        out.writeEndObject();
+    }
+}
--- a/src/test/java/tinroad/LayersTest.java
+++ b/src/test/java/tinroad/LayersTest.java
@@ -30,6 +30,7 @@
                 .layer("core").definedBy("tinroad.core..")
                 .layer("decisions").definedBy("tinroad.route..", "tinroad.translate..", "tinroad.expect..", "tinroad.recovery..",
                         "tinroad.fleet..", "tinroad.catalog..")
+                .layer("changes").definedBy("tinroad.changelog..")
                 .layer("settings").definedBy("tinroad.config..", "tinroad.operator..", "tinroad.state..")
                 .layer("log").definedBy("tinroad.log..")
                 .layer("module").definedBy("tinroad")
@@ -38,8 +39,9 @@
                 .whereLayer("lab").mayOnlyBeAccessedByLayers("cli")
                 .whereLayer("edges").mayOnlyBeAccessedByLayers("cli", "node", "lab")
                 .whereLayer("core").mayOnlyBeAccessedByLayers("cli", "node", "edges", "lab")
-                .whereLayer("decisions").mayOnlyBeAccessedByLayers("cli", "node", "edges", "lab", "core")
-                .whereLayer("settings").mayOnlyBeAccessedByLayers("cli", "node", "edges", "lab", "core", "decisions")
+                .whereLayer("changes").mayOnlyBeAccessedByLayers("cli", "node")
+                .whereLayer("decisions").mayOnlyBeAccessedByLayers("cli", "node", "edges", "lab", "core", "changes")
+                .whereLayer("settings").mayOnlyBeAccessedByLayers("cli", "node", "edges", "lab", "core", "decisions", "changes")
                 .check(ALL);
     }
 
--- /dev/null
+++ b/src/test/java/tinroad/changelog/ChangeLogTest.java
@@ -0,0 +1,302 @@
+package tinroad.changelog;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static tinroad.changelog.KillLogWrites.base;
+import static tinroad.changelog.KillLogWrites.quotas;
+
+import java.io.ByteArrayInputStream;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Stream;
+import java.util.zip.CRC32C;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import tinroad.Controller.RequestClass;
+import tinroad.Controller.Semantics;
+import tinroad.Controller.Tenant;
+import tinroad.catalog.Change;
+import tinroad.catalog.Editor;
+import tinroad.catalog.Whole;
+
+/** The files of a change log, and what a follower makes of whatever it finds: one line, and the last good catalog serves. */
+@Timeout(600)
+class ChangeLogTest {
+    @TempDir
+    private Path dir;
+
+    private final Editor writer = new Editor(base());
+    private final Editor reader = new Editor(base());
+
+    private ChangeFolder folder() {
+        return new ChangeFolder(dir.resolve("log"), 8);
+    }
+
+    private final LogFollower[] follower = new LogFollower[1];
+
+    private String follow() {
+        if (follower[0] == null) {
+            follower[0] = new LogFollower(folder(), "log", null);
+        }
+        return KillLogWrites.follow(follower[0], reader);
+    }
+
+    private void write(long epoch, int count) throws IOException {
+        for (int i = 0; i < count; i++) {
+            long number = writer.current().epoch() == epoch ? writer.current().number() + 1 : 1;
+            Change c = quotas(writer.current(), epoch, number, 2);
+            folder().append(c);
+            writer.offer(c);
+        }
+    }
+
+    private Path file(long epoch, long number) {
+        return dir.resolve("log").resolve(new Position(epoch, number).file());
+    }
+
+    private void assertSame() {
+        assertEquals(writer.current().hash(), reader.current().hash());
+        assertEquals(writer.current().number(), reader.current().number());
+    }
+
+    @Test
+    void whatIsWrittenIsReadAgainToTheLastBit() throws IOException {
+        RequestClass odd = new RequestClass(0.1, -0.0, 1e300, Double.MIN_VALUE, 1 / 3.0, Semantics.GUARDED, 5, true, 0.25);
+        Change c = new Change(3, 9, Map.of("\u20ac\ud83d\ude00\"\\", odd, "b", new RequestClass(0, 0, 7, 0, 0, Semantics.FREE, 0, false, 0)),
+                Set.of("x", "y"), Map.of("t", new Tenant(0.3, 0)), Set.of("u"), "before", "after");
+        byte[] bytes = ChangeEncoding.write(c);
+        ChangeFolder.Batch read = ChangeEncoding.read(new ByteArrayInputStream(bytes), new Position(3, 9));
+        assertEquals(c, read.change());
+        assertTrue(read.faults().isEmpty(), read.faults().lines()::toString);
+        assertEquals("before after", c.before() + " " + ChangeEncoding.readHead(new ByteArrayInputStream(bytes)).after());
+        assertTrue(ChangeEncoding.write(quotas(base(), 1, 1, 1)).length < 2048);
+    }
+
+    @Test
+    void aFollowerEndsWhereTheWriterIsAndOnlyTheNewestStay() throws IOException {
+        write(1, 5);
+        assertEquals("", follow());
+        assertSame();
+        write(1, 20);
+        assertEquals(8, folder().positions().size());
+        // Fallen behind: the file as it is now leads it on.
+        assertEquals("log: 1-6 is missing, the oldest change after it is 1-18: the settings file as it is now has to be read, by SIGHUP\n",
+                follow());
+        assertEquals("", follow());
+        assertEquals(5, reader.current().number());
+        Whole now = whole(writer);
+        assertNull(follower[0].whole(reader, now).line());
+        assertSame();
+        write(2, 1);
+        assertEquals("", follow());
+        assertSame();
+        assertEquals(2, reader.current().epoch());
+        assertEquals(new Position(2, 1), follower[0].newest());
+    }
+
+    /** The writer's content as a settings file. */
+    private Whole whole(Editor from) {
+        Whole file = new Whole(reader.current());
+        from.current().allRoutes().forEach(r -> file.requestClass(r.name(), r.spec()));
+        from.current().allTenants().forEach(t -> file.tenant(t.name(), t.spec()));
+        return file;
+    }
+
+    @Test
+    void aFileIsTakenOnlyAsAVersionOfTheLog() throws IOException {
+        write(1, 3);
+        Editor old = new Editor(base());
+        assertEquals("", follow());
+        assertEquals("settings file not taken: it is that of 1-0, and 1-3 serves", follower[0].whole(reader, whole(old)).line());
+        assertNull(follower[0].whole(reader, whole(writer)).taken());
+        old.offer(quotas(old.current(), 1, 1, 7));
+        assertEquals("settings file not taken: log knows no change to its content, " + old.current().hash(),
+                follower[0].whole(reader, whole(old)).line());
+        assertEquals("1-3", reader.current().epoch() + "-" + reader.current().number());
+        // A process that starts on a file finds where in the log it is.
+        assertEquals(3, follower[0].locate(writer.current().at(0, 0)).number());
+        assertEquals(List.of(1L, 0L), List.of(follower[0].locate(base()).epoch(), follower[0].locate(base()).number()));
+        assertEquals(0, follower[0].locate(old.current().at(0, 0)).epoch());
+    }
+
+    @Test
+    void noByteOfABatchCanBeAnotherOne() throws IOException {
+        byte[] bytes = ChangeEncoding.write(quotas(base(), 1, 1, 2));
+        Position at = new Position(1, 1);
+        for (int i = 0; i < bytes.length; i++) {
+            byte[] cut = Arrays.copyOf(bytes, i);
+            assertThrows(DamagedException.class, () -> ChangeEncoding.read(new ByteArrayInputStream(cut), at), "cut at " + i);
+            for (int bit = 0; bit < 8; bit++) {
+                byte[] other = bytes.clone();
+                other[i] ^= (byte) (1 << bit);
+                assertThrows(DamagedException.class, () -> ChangeEncoding.read(new ByteArrayInputStream(other), at), i + " bit " + bit);
+            }
+        }
+        assertThrows(DamagedException.class, () -> ChangeEncoding.read(new ByteArrayInputStream(bytes), new Position(1, 2)));
+        byte[] longer = Arrays.copyOf(bytes, bytes.length + 1);
+        assertThrows(DamagedException.class, () -> ChangeEncoding.read(new ByteArrayInputStream(longer), at));
+    }
+
+    @Test
+    void aDamagedOrHalfWrittenFileIsToldOnceAndWhatServesStays() throws IOException {
+        write(1, 2);
+        byte[] good = Files.readAllBytes(file(1, 2));
+        Files.write(file(1, 2), Arrays.copyOf(good, good.length / 2));
+        // A publisher's file that is not whole has another name.
+        Files.write(dir.resolve("log/" + new Position(1, 3).file() + "-x.part"), good);
+        String told = follow();
+        assertTrue(told.startsWith("log: change 1-2 is damaged: it is not JSON at byte "), told);
+        assertEquals("", follow() + follow());
+        assertEquals(1, reader.current().number());
+        assertTrue(follower[0].trouble().contains("damaged"));
+        Files.write(file(1, 2), good);
+        assertEquals("", follow());
+        assertSame();
+        assertNull(follower[0].trouble());
+    }
+
+    @Test
+    void aBatchWithAFaultIsRefusedWhole() throws IOException {
+        write(1, 1);
+        Change bad = new Change(1, 2, Map.of("b", new RequestClass(0, 0, 0, 0, 0, Semantics.FREE, 0, false, 0)), Set.of(), Map.of(), Set.of(),
+                writer.current().hash(), "");
+        folder().append(bad);
+        assertEquals("change 1-2 refused: class b: deadline has to be above 0, not 0\n", follow());
+        Files.delete(file(1, 2));
+        // A word that a later version knows, in a file whose checksum fits.
+        String text = new String(ChangeEncoding.write(quotas(writer.current(), 1, 2, 1)), StandardCharsets.UTF_8);
+        String body = text.substring(text.indexOf('\n') + 1).replace("\"classes\":[],\"orgs\":[{", "\"classes\":[{\"name\":\"b\",\"deadline\":1,"
+                + "\"semantics\":\"twice\"}],\"orgs\":[{");
+        CRC32C crc = new CRC32C();
+        crc.update(1);
+        crc.update(body.getBytes(StandardCharsets.UTF_8));
+        Files.writeString(file(1, 2), String.format("tinroad-change 1 %08x\n", crc.getValue()) + body);
+        assertEquals("change 1-2 refused: class b: semantics is none of free, guarded, single_shot: 'twice'\n", follow());
+        Files.writeString(file(1, 2), String.format("tinroad-change 2 %08x\n", crc.getValue()) + body);
+        assertEquals("log: change 1-2 is damaged: version 2, and this program reads 1\n", follow());
+        assertEquals(1, reader.current().number());
+    }
+
+    @Test
+    void aFolderThatIsGoneEmptyOrRolledBackIsToldOnce() throws IOException {
+        assertEquals("log is not there\n", follow());
+        assertEquals("", follow());
+        write(1, 3);
+        assertEquals("", follow());
+        Path log = dir.resolve("log");
+        Path away = Files.move(log, dir.resolve("away"));
+        assertEquals("log is not there\n", follow());
+        Files.createDirectory(log);
+        assertEquals("log was rolled back: 1-3 was taken, and it is empty\n", follow());
+        Files.copy(away.resolve(file(1, 1).getFileName()), file(1, 1));
+        assertEquals("log was rolled back: 1-3 was taken, and the newest is 1-1\n", follow());
+        assertEquals("", follow());
+        assertSame();
+        // The same, seen by the next life, which knows what this one had.
+        LogFollower next = new LogFollower(folder(), "log", new Position(1, 3));
+        Editor began = new Editor(base());
+        assertEquals("log was rolled back: 1-3 was taken, and the newest is 1-1\n", KillLogWrites.follow(next, began));
+        assertEquals(1, began.current().number());
+        Files.delete(file(1, 1));
+        Files.delete(log);
+        Files.move(away, log);
+        assertEquals("log is followed again from 1-3\n", follow());
+        assertEquals("", KillLogWrites.follow(next, began));
+        assertEquals(3, began.current().number());
+    }
+
+    @Test
+    void anEarlierEpochIsNotTakenAfterItIsOver() throws IOException {
+        write(1, 2);
+        Change late = quotas(writer.current(), 1, 3, 5);
+        write(2, 1);
+        assertEquals("", follow());
+        assertThrows(IOException.class, () -> folder().append(late));
+        Files.write(file(1, 3), ChangeEncoding.write(late));
+        assertEquals("log: change 1-3 came after its epoch was over: not taken, 2 goes on\n", follow());
+        assertSame();
+        // It keeps nobody from what comes next, of this epoch and of a higher one.
+        write(2, 1);
+        write(3, 1);
+        follow();
+        assertSame();
+    }
+
+    @Test
+    void twoPublishersWithOneEpochAreTold() throws Exception {
+        write(1, 1);
+        assertEquals("", follow());
+        String other = assertThrows(IOException.class, () -> folder().append(quotas(base(), 1, 1, 9))).getMessage();
+        assertEquals("change 1-1 is taken, or its epoch is over: the newest is 1-1", other);
+        assertTrue(assertThrows(IOException.class, () -> folder().append(quotas(base(), 1, 2, 9))).getMessage()
+                .startsWith("change 1-2 leads on from content "));
+        assertTrue(assertThrows(IOException.class, () -> folder().append(quotas(writer.current(), 1, 3, 9))).getMessage()
+                .contains("does not follow"));
+        // One that writes past the checks: the reader tells.
+        Files.write(file(1, 2), ChangeEncoding.write(quotas(base(), 1, 2, 9)));
+        assertTrue(follow().startsWith("change 1-2 belongs to another content than " + writer.current().hash()));
+        Files.delete(file(1, 2));
+        Files.write(file(1, 1), ChangeEncoding.write(quotas(base(), 1, 1, 9)));
+        Files.createFile(dir.resolve("log/touched"));
+        assertTrue(follow().startsWith("change 1-1 belongs to another content than "));
+        assertSame();
+    }
+
+    @Test
+    void ofTwoThatWriteAtOnceOneWritesEachChange() throws Exception {
+        ChangeFolder log = new ChangeFolder(dir.resolve("log"), 1000);
+        AtomicInteger written = new AtomicInteger();
+        Thread[] both = new Thread[2];
+        for (int w = 0; w < both.length; w++) {
+            int entries = w + 1;
+            both[w] = new Thread(() -> {
+                Editor mine = new Editor(base());
+                LogFollower f = new LogFollower(log, "log", null);
+                for (int tries = 0; tries < 1000 && mine.current().number() < 60; tries++) {
+                    try {
+                        log.append(quotas(mine.current(), 1, mine.current().number() + 1, entries));
+                        written.incrementAndGet();
+                    } catch (IOException e) {
+                        // Told to this one; it goes on from what the other one wrote.
+                    }
+                    KillLogWrites.follow(f, mine);
+                }
+            });
+            both[w].start();
+        }
+        for (Thread w : both) {
+            w.join();
+        }
+        follower[0] = new LogFollower(log, "log", null);
+        assertEquals("", follow());
+        assertTrue(written.get() >= 60, "written " + written);
+        assertEquals(written.get(), reader.current().number());
+        assertEquals(written.get(), log.positions().size());
+        try (Stream<Path> files = Files.list(dir.resolve("log"))) {
+            assertEquals(List.of(), files.filter(p -> p.toString().endsWith(".part")).toList());
+        }
+    }
+
+    @Test
+    void whatAKilledPublisherLeftIsClearedAway() throws IOException {
+        write(1, 1);
+        Path half = Files.write(dir.resolve("log/" + new Position(1, 1).file() + "-killed.part"), new byte[20]);
+        write(1, 1);
+        assertTrue(Files.notExists(half));
+    }
+
+    @Test
+    void fiftyKillsWhileTheLogIsWrittenDamageNothing() throws Exception {
+        assertEquals("kills 50, damaged 0, lost 0", KillLogWrites.campaign(dir.resolve("killed"), 50, 1));
+    }
+}
--- /dev/null
+++ b/src/test/java/tinroad/changelog/KillLogWrites.java
@@ -0,0 +1,124 @@
+package tinroad.changelog;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.stream.IntStream;
+import tinroad.Controller.RequestClass;
+import tinroad.Controller.Semantics;
+import tinroad.Controller.Tenant;
+import tinroad.catalog.Catalog;
+import tinroad.catalog.Change;
+import tinroad.catalog.Editor;
+import tinroad.state.KillWrites;
+
+/**
+ * Kills processes while they write a change log: {@code KillLogWrites FOLDER KILLS SEED} from the command line. Damaged counts kills
+ * after which a reader that follows all the while had trouble, lost those after which a change reported as written was not there.
+ */
+public final class KillLogWrites {
+    private static final int KEEP = 100_000;
+    private static final int ENTRIES = 20;
+
+    private KillLogWrites() { }
+
+    /** Writes without end and says what it has written; or, with three arguments, runs a campaign. */
+    public static void main(String[] args) throws Exception {
+        if (args.length == 3) {
+            System.out.println(campaign(Path.of(args[0]), Integer.parseInt(args[1]), Long.parseLong(args[2])));
+            return;
+        }
+        ChangeFolder folder = new ChangeFolder(Path.of(args[0]), KEEP);
+        List<Position> there = Files.isDirectory(Path.of(args[0])) ? folder.positions() : List.of();
+        Editor editor = new Editor(there.isEmpty() ? base() : content(there.get(there.size() - 1).number()));
+        for (long n = editor.current().number() + 1;; n++) {
+            Change c = quotas(editor.current(), 1, n, ENTRIES);
+            folder.append(c);
+            editor.offer(c);
+            System.out.println(1 + " " + n);
+        }
+    }
+
+    static Catalog base() {
+        return Catalog.of(0, 0, List.of("a"), List.of(new RequestClass(0, 0, 10, 1, 0, Semantics.FREE, 0, false, 0)), List.of(), List.of());
+    }
+
+    /** What the log has led to at this number, without reading it: a file as its publisher has it. */
+    private static Catalog content(long number) {
+        List<String> names = IntStream.range(0, ENTRIES).mapToObj(i -> "t" + i).toList();
+        return Catalog.of(1, number, List.of("a"), List.of(base().route("a").spec()), names,
+                names.stream().map(name -> new Tenant(number, 0)).toList());
+    }
+
+    /** The next change of the content: so many quotas, each of the change's number. */
+    static Change quotas(Catalog now, long epoch, long number, int entries) {
+        Map<String, Tenant> put = new HashMap<>();
+        for (int i = 0; i < entries; i++) {
+            put.put("t" + i, new Tenant(number, 0));
+        }
+        Change c = new Change(epoch, number, Map.of(), Set.of(), put, Set.of());
+        return new Change(epoch, number, c.putRoutes(), c.removedRoutes(), put, c.removedTenants(), now.hash(), now.hashAfter(c));
+    }
+
+    /** Takes all that is there; returns the lines that were told. */
+    static String follow(LogFollower follower, Editor editor) {
+        StringBuilder lines = new StringBuilder();
+        // Twice more after the last: what is wrong with the folder is looked for then.
+        for (int idle = 0; idle < 2;) {
+            LogFollower.Step step = follower.step(editor);
+            idle = step.taken() == null ? idle + 1 : 0;
+            lines.append(step.line() == null ? "" : step.line() + "\n");
+        }
+        return lines.toString();
+    }
+
+    static String campaign(Path folder, int kills, long seed) throws IOException, InterruptedException {
+        SplittableRandom random = new SplittableRandom(seed);
+        LogFollower follower = new LogFollower(new ChangeFolder(folder, KEEP), "log", null);
+        Editor editor = new Editor(base());
+        int damaged = 0;
+        int lost = 0;
+        for (int k = 0; k < kills; k++) {
+            Reader reader = new Reader(follower, editor);
+            reader.start();
+            String last = KillWrites.lastSaid(KillLogWrites.class, folder, random);
+            reader.done = true;
+            reader.join();
+            damaged += reader.trouble + follow(follower, editor).length() > 0 ? 1 : 0;
+            Tenant t = editor.current().number() == 0 ? null : editor.current().tenant("t" + (ENTRIES - 1)).spec();
+            lost += t != null && t.quotaPerSecond() == editor.current().number()
+                    && editor.current().number() >= Long.parseLong(last.split(" ")[1]) ? 0 : 1;
+        }
+        return "kills " + kills + ", damaged " + damaged + ", lost " + lost;
+    }
+
+    /** Follows while it is written. */
+    private static final class Reader extends Thread {
+        private final LogFollower follower;
+        private final Editor editor;
+        private volatile boolean done;
+        private int trouble;
+
+        Reader(LogFollower follower, Editor editor) {
+            this.follower = follower;
+            this.editor = editor;
+        }
+
+        @Override
+        public void run() {
+            boolean began = editor.current().number() > 0;
+            while (!done) {
+                LogFollower.Step step = follower.step(editor);
+                began |= step.taken() != null;
+                // The folder comes with the first change.
+                trouble += step.line() != null && began ? 1 : 0;
+                Thread.yield();
+            }
+        }
+    }
+}
--- a/src/test/java/tinroad/cli/MainTest.java
+++ b/src/test/java/tinroad/cli/MainTest.java
@@ -158,6 +158,45 @@
         }
     }
 
+    private List<String> says(int status, String... args) {
+        out.reset();
+        assertEquals(status, run("", args), err::toString);
+        return out.toString(StandardCharsets.UTF_8).lines().map(l -> l.strip().replaceAll(" +", " ")).toList();
+    }
+
+    @Test
+    void aCatalogIsShownComparedCheckedAndPublished(@TempDir Path dir) throws IOException {
+        String one = "deploy/example.json";
+        String text = Files.readString(Path.of(one));
+        String two = Files.writeString(dir.resolve("two.json"), text.replace("\"quota_per_s\": 89.0", "\"quota_per_s\": 90.5")
+                .replace("\"name\": \"new-order\"", "\"name\": \"order\"")).toString();
+        String log = dir.resolve("log").toString();
+        List<String> shown = says(0, "catalog", "show", one);
+        assertEquals(List.of("what value", "classes 2", "orgs 1"), shown.subList(0, 3));
+        String content = shown.get(3).substring("content ".length());
+        assertEquals(List.of("ok: 2 classes, 1 orgs, content " + content), says(0, "catalog", "check", one));
+        assertEquals(List.of("entry name change from to", "class new-order removed",
+                "class order new objective=2500.0, deadline=6000.0, gain=3.0, late_share=0.2,",
+                "semantics=single_shot, class_calls=false, degraded_worth=0.0", "org acme changed quota_per_s=89.0 quota_per_s=90.5"), says(0, "catalog", "diff", one, two));
+        assertTrue(String.join("", says(0, "catalog", "diff", one, two, "--output", "json")).contains("\"change\" : \"changed\""));
+        assertTrue(says(0, "catalog", "publish", one, two, log).get(0).startsWith("change 1-1 written: 3 entries, content "));
+        assertEquals(List.of("nothing differs: no change written"), says(0, "catalog", "publish", two, two, log));
+        assertEquals(List.of("change 1-2 written: 3 entries, content " + content), says(0, "catalog", "publish", two, one, log));
+        assertEquals(List.of("change 2-1"), says(0, "catalog", "publish", one, two, log, "--epoch", "2").stream().map(l -> l.substring(0, 10)).toList());
+        assertEquals(List.of("1-1 good 3", "1-2 good 3 " + content, "2-1 good 3"), says(0, "catalog", "check", log).stream().skip(1)
+                .map(l -> l.contains(content) ? l : l.substring(0, 10)).toList());
+
+        failsInOneLine(1, "leads on from content " + content, "catalog", "publish", one, two, log);
+        failsInOneLine(1, "its epoch is over, 2 goes on", "catalog", "publish", two, one, log, "--epoch", "1");
+        failsInOneLine(1, "no such file", "catalog", "show", dir.resolve("absent").toString());
+        failsInOneLine(2, "catalog diff takes OLD NEW", "catalog", "diff", one);
+        failsInOneLine(1, "class order: deadline has to be above 0, not 0", "catalog", "publish", two,
+                file(dir, Files.readString(Path.of(two)).replace("\"deadline\": 6000.0", "\"deadline\": 0")), log);
+        Path first = dir.resolve("log/change-0000000000000000001-0000000000000000001");
+        Files.writeString(first, "x");
+        assertEquals("1-1 damaged: no change, or cut short 0", says(1, "catalog", "check", log).get(1));
+    }
+
     @Test
     void wirehostAnswersTheSimulator() {
         assertEquals(0, run("{\"t\":\"mark\",\"moment\":1.0,\"turn\":7}\n{\"t\":\"eob\"}\n", "wirehost"));
--- a/src/test/java/tinroad/state/KillWrites.java
+++ b/src/test/java/tinroad/state/KillWrites.java
@@ -34,23 +34,7 @@
         int damaged = 0;
         int lost = 0;
         for (int k = 0; k < kills; k++) {
-            Process writer = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-Xshare:auto",
-                    "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"), KillWrites.class.getName(), folder.toString())
-                    .redirectErrorStream(true).start();
-            String last = "";
-            try (BufferedReader out = writer.inputReader(StandardCharsets.US_ASCII)) {
-                // So many writes, and then at any moment of the next ones.
-                for (int n = random.nextInt(1, 30); n > 0; n--) {
-                    last = out.readLine();
-                }
-                Thread.sleep(0, random.nextInt(999_999));
-                // By its handle: what it has said can still be read.
-                writer.toHandle().destroyForcibly();
-                for (String line = out.readLine(); line != null; line = out.readLine()) {
-                    last = line.matches("\\d+ \\d+") ? line : last;
-                }
-            }
-            writer.waitFor();
+            String last = lastSaid(KillWrites.class, folder, random);
             StateFolder f = new StateFolder(folder, null, 3);
             Recall.Decision d = Recall.decide(f.candidates(), "n3", NOW, 600_000, f.knownLife(), 0);
             damaged += d.setAside().isEmpty() ? 0 : 1;
@@ -61,4 +45,26 @@
         }
         return "kills " + kills + ", damaged " + damaged + ", lost " + lost;
     }
+
+    /** Runs the main method of {@code writer} in a process of its own, kills it while it writes, and returns its last whole line of two numbers. */
+    public static String lastSaid(Class<?> writer, Path folder, SplittableRandom random) throws IOException, InterruptedException {
+        Process process = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-Xshare:auto",
+                "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"), writer.getName(), folder.toString())
+                .redirectErrorStream(true).start();
+        String last = "";
+        try (BufferedReader out = process.inputReader(StandardCharsets.US_ASCII)) {
+            // So many writes, and then at any moment of the next ones.
+            for (int n = random.nextInt(1, 30); n > 0; n--) {
+                last = out.readLine();
+            }
+            Thread.sleep(0, random.nextInt(999_999));
+            // By its handle: what it has said can still be read.
+            process.toHandle().destroyForcibly();
+            for (String line = out.readLine(); line != null; line = out.readLine()) {
+                last = line.matches("\\d+ \\d+") ? line : last;
+            }
+        }
+        process.waitFor();
+        return last;
+    }
 }
