--- a/src/test/java/tinroad/ChangesTest.java
+++ b/src/test/java/tinroad/ChangesTest.java
@@ -139,6 +139,33 @@
         assertEquals(2, classes.size());
     }
 
+    @Test
+    void howHighTheCutRisesHangsOnHowManyClassesThereAreNow() {
+        f.say = Say.MIN_RANK;
+        f.begin();
+        f.controller.stage(IntStream.range(3, 20).mapToObj(i -> new ClassAt(i, KEYED)).toList(), List.of());
+        f.controller.commit(f.now);
+        f.serveCalmly("s", FREE, 20, 300);
+        assertEquals("say 0.10", lastSaidUnderPressure("a"));
+        // Guards the test against a module that takes the work for hung.
+        f.ended("a", Outcome.OK);
+        f.ended("aa", Outcome.OK);
+        f.controller.stage(IntStream.range(3, 20).mapToObj(i -> new ClassAt(i, null)).toList(), List.of());
+        f.controller.commit(f.now);
+        assertEquals("say 0.65", lastSaidUnderPressure("b"));
+    }
+
+    private String lastSaidUnderPressure(String prefix) {
+        f.request(prefix, FREE);
+        f.request(prefix + prefix, FREE);
+        for (int i = 0; i < 100; i++) {
+            f.request(prefix + i, FREE);
+            f.after(20);
+        }
+        List<String> said = f.recorder.take("say");
+        return said.get(said.size() - 1);
+    }
+
     // --- taken out and put back ---
 
     @Test
