Keep the formula of a class's lag among the decisions, not in the table that uses it

Need: the table of classes asked lately held how much a class behind the others counts, which is a decision. Change: the module gives it; the table asks.

--- a/src/main/java/tinroad/Classes.java
+++ b/src/main/java/tinroad/Classes.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.BiConsumer;
+import java.util.function.DoubleBinaryOperator;
 import java.util.stream.IntStream;
 import tinroad.Controller.ClassAt;
 import tinroad.Controller.RequestClass;
@@ -60,13 +61,13 @@
 
     /**
      * @param span ms in which what was asked and served falls to its e-th part
-     * @param lagSpan a class served this much better than the worst shares nothing of its weight
+     * @param lag how far behind a class is that has this ratio of what was asked, beside the worst ratio
      * @param worthByWork a class's worth is for each ms of its run
      */
-    Classes(List<RequestClass> specs, Learned learned, double span, double lagSpan, boolean worthByWork, double clock) {
+    Classes(List<RequestClass> specs, Learned learned, double span, DoubleBinaryOperator lag, boolean worthByWork, double clock) {
         this.learned = learned;
         this.span = span;
-        telling = new Telling(lagSpan);
+        telling = new Telling(lag);
         this.worthByWork = worthByWork;
         this.clock = clock;
         for (RequestClass c : specs) {
--- a/src/main/java/tinroad/OverloadController.java
+++ b/src/main/java/tinroad/OverloadController.java
@@ -220,8 +220,8 @@
         clock = now;
         lastEnd = now;
         lastSweep = now;
-        classes = new Classes(settings.classes(), learned, SERVED_SPAN, LAG_SPAN, settings.worthByWork(),
-                now);
+        classes = new Classes(settings.classes(), learned, SERVED_SPAN, OverloadController::lag,
+                settings.worthByWork(), now);
         tenants = new Tenants(settings.tenants(), RATE_SPAN);
         limit = Math.max(1, settings.cores() * RUNS_PER_CORE);
         idle = longestIdle();
@@ -503,6 +503,11 @@
         return (set.goal().whole() + set.goal().worstWindow()) * own * asked / worth + bonus;
     }
 
+    /** How far a class is behind that is served so, beside the worst: who is near shares its weight. */
+    private static double lag(double ratio, double worst) {
+        return Math.max(0, 1 - (ratio - worst) / LAG_SPAN);
+    }
+
     /** Below 1 for a tenant whose rate and part of the arrivals are both over its share. */
     private double tenantWorth(Work w) {
         Tenant t = w.quota;
--- a/src/main/java/tinroad/Telling.java
+++ b/src/main/java/tinroad/Telling.java
@@ -1,6 +1,7 @@
 package tinroad;
 
 import java.util.Arrays;
+import java.util.function.DoubleBinaryOperator;
 import java.util.function.Predicate;
 
 /**
@@ -9,7 +10,7 @@
  * seldom lie all over the memory.
  */
 final class Telling {
-    private final double lagSpan;
+    private final DoubleBinaryOperator lag;
     private ClassStats[] of = new ClassStats[16];
     private double[] ratio = new double[16];
     private double[] until = new double[16];
@@ -20,9 +21,9 @@
     /** When the first of them tells no more. */
     private double quietAt;
 
-    /** {@code lagSpan}: a class served this much better than the worst is not behind. */
-    Telling(double lagSpan) {
-        this.lagSpan = lagSpan;
+    /** {@code lag}: how far behind a class is that has this ratio, beside the worst ratio: the module's to say. */
+    Telling(DoubleBinaryOperator lag) {
+        this.lag = lag;
     }
 
     /** This class tells until then. */
@@ -97,6 +98,6 @@
     }
 
     private double lag(double ratio) {
-        return Math.max(0, 1 - (ratio - worst) / lagSpan);
+        return lag.applyAsDouble(ratio, worst);
     }
 }
--- a/src/test/java/tinroad/ClassesTest.java
+++ b/src/test/java/tinroad/ClassesTest.java
@@ -20,6 +20,10 @@
     private static final double SPAN = 20_000;
     private static final double LAG = 0.1;
 
+    private static double behind(double ratio, double worst) {
+        return Math.max(0, 1 - (ratio - worst) / LAG);
+    }
+
     /** The same by walking: what each class was asked and served, faded at each step. */
     private static final class Walked {
         final List<RequestClass> specs = new ArrayList<>();
@@ -62,8 +66,8 @@
 
         double lagShare(int place) {
             double worst = live().stream().mapToDouble(this::ratio).reduce(1, Math::min);
-            double lags = live().stream().mapToDouble(i -> Math.max(0, 1 - (ratio(i) - worst) / LAG)).sum();
-            return Math.max(0, 1 - (ratio(place) - worst) / LAG) / lags;
+            double lags = live().stream().mapToDouble(i -> behind(ratio(i), worst)).sum();
+            return behind(ratio(place), worst) / lags;
         }
     }
 
@@ -87,7 +91,7 @@
             walked.put(i, begin.get(i));
         }
         boolean byWork = random.nextBoolean();
-        Classes classes = new Classes(begin, learned, SPAN, LAG, byWork, 0);
+        Classes classes = new Classes(begin, learned, SPAN, ClassesTest::behind, byWork, 0);
         double now = 0;
         List<ClassAt> staged = new ArrayList<>();
         double[] peaks = new double[2];
@@ -172,7 +176,7 @@
         for (int i = 0; i < 50; i++) {
             specs.add(spec(random));
         }
-        Classes classes = new Classes(specs, learned, SPAN, LAG, true, 0);
+        Classes classes = new Classes(specs, learned, SPAN, ClassesTest::behind, true, 0);
         ClassStats[] of = new ClassStats[50];
         for (int i = 0; i < 10_000_000; i++) {
             int place = i % 50;
--- a/src/test/java/tinroad/LearnedTest.java
+++ b/src/test/java/tinroad/LearnedTest.java
@@ -19,7 +19,7 @@
             new RequestClass(2000, 0, 4000, 3, 0, Semantics.SINGLE_SHOT, 0, false, 0));
 
     private final Learned learned = new Learned(0.25, 2);
-    private final Classes classes = new Classes(CLASSES, learned, 20_000, 0.1, false, 0);
+    private final Classes classes = new Classes(CLASSES, learned, 20_000, (ratio, worst) -> Math.max(0, 1 - (ratio - worst) / 0.1), false, 0);
 
     private double run(int place) {
         return learned.run(stats(place), CLASSES.get(place));
