--- a/src/main/java/tinroad/cli/Check.java
+++ b/src/main/java/tinroad/cli/Check.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.io.PrintStream;
 import org.kohsuke.args4j.Option;
+import tinroad.config.ConfigFile;
 import tinroad.config.GatewayConfig;
 import tinroad.fastcgi.FastCgiFront;
 import tinroad.node.Server;
@@ -24,7 +25,7 @@
     }
 
     @Override
-    void run(GatewayConfig config, Operator operator, PrintStream out) throws IOException, InterruptedException {
+    void run(ConfigFile source, GatewayConfig config, Operator operator, PrintStream out) throws IOException, InterruptedException {
         if (start) {
             // Guards a gateway that serves there: a second one beside it would take its engine and half its callers.
             if (FastCgiFront.taken(config.listen(), false)) {
--- a/src/main/java/tinroad/cli/GatewayCommand.java
+++ b/src/main/java/tinroad/cli/GatewayCommand.java
@@ -6,8 +6,8 @@
 import java.nio.file.Path;
 import org.kohsuke.args4j.Option;
 import tinroad.config.ConfigException;
+import tinroad.config.ConfigFile;
 import tinroad.config.GatewayConfig;
-import tinroad.config.SiteVisitor;
 import tinroad.operator.Operator;
 import tinroad.operator.OperatorException;
 
@@ -25,7 +25,8 @@
     final int run(InputStream in, PrintStream out, PrintStream err) {
         try {
             Operator set = readOperator();
-            run(read(null), set, out);
+            ConfigFile source = configFile();
+            run(source, source.read(null), set, out);
             return FINE;
         } catch (OperatorException e) {
             e.faults().forEach(fault -> err.println("tinroad: " + fault));
@@ -41,15 +42,15 @@
     }
 
     /** Does what the command is for; {@code operator} is null where no such file is named. */
-    abstract void run(GatewayConfig config, Operator operator, PrintStream out) throws IOException, InterruptedException;
+    abstract void run(ConfigFile source, GatewayConfig config, Operator operator, PrintStream out) throws IOException, InterruptedException;
 
-    /** Reads the configuration, as it is now; its classes and tenants go to {@code visitor}, or into lists where that is null. */
-    final GatewayConfig read(SiteVisitor visitor) throws ConfigException {
+    /** The configuration's file. */
+    final ConfigFile configFile() throws ConfigException {
         String path = file != null ? file : System.getenv(VARIABLE);
         if (path == null || path.isEmpty()) {
             throw new ConfigException("no configuration: give --config FILE or set " + VARIABLE);
         }
-        return GatewayConfig.read(Path.of(path), visitor);
+        return new ConfigFile(Path.of(path));
     }
 
     /** Reads the operator file, as it is now; null where none is named. */
--- a/src/main/java/tinroad/cli/Serve.java
+++ b/src/main/java/tinroad/cli/Serve.java
@@ -6,6 +6,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import tinroad.config.ConfigException;
+import tinroad.config.ConfigFile;
 import tinroad.config.GatewayConfig;
 import tinroad.node.Server;
 import tinroad.operator.CatalogSettings;
@@ -26,7 +27,7 @@
     }
 
     @Override
-    void run(GatewayConfig config, Operator operator, PrintStream out) throws IOException, InterruptedException {
+    void run(ConfigFile source, GatewayConfig config, Operator operator, PrintStream out) throws IOException, InterruptedException {
         LogSink sink = LogSink.of(operator);
         try (Server server = new Server(config, System.getenv("TMPDIR"),
                 operator == null ? StateSettings.NONE : operator.state(), operator == null ? FleetSettings.NONE : operator.fleet(),
@@ -35,7 +36,7 @@
             if (!leaveOnNotice(server, sink)) {
                 return;
             }
-            if (Signals.register("HUP", () -> reload(server, sink)) == null) {
+            if (Signals.register("HUP", () -> reload(server, source, sink)) == null) {
                 LOG.warn("SIGHUP can't be handled here: it would end this process");
             } else if (Ignored.signal(Ignored.HUP)) {
                 LOG.warn("SIGHUP is ignored, as this process was started so: the configuration is read again only"
@@ -43,7 +44,7 @@
             }
             server.rehearse();
             if (server.start() != null) {
-                server.awaitEnd(this::read);
+                server.awaitEnd(source);
             }
         } finally {
             sink.end();
@@ -65,9 +66,9 @@
     }
 
     /** Guards against a file that is half written, gone or wrong: the gateway goes on with what it has of it. */
-    private synchronized void reload(Server server, LogSink sink) {
+    private synchronized void reload(Server server, ConfigFile source, LogSink sink) {
         try {
-            server.reload(this::read);
+            server.reload(source);
         } catch (ConfigException e) {
             e.getMessage().lines().forEach(fault -> LOG.warn("configuration kept: {}", fault));
         }
--- a/src/main/java/tinroad/control/ControlCall.java
+++ b/src/main/java/tinroad/control/ControlCall.java
@@ -172,6 +172,7 @@
             json.writeNumberField("tenants", c.tenants());
             json.writeNumberField("since_ms", Math.round(gateway.now() - gateway.catalogSince()));
             json.writeNumberField("lag", gateway.catalogsWaiting());
+            json.writeNumberField("longest_slice_ms", Math.round(1000 * gateway.longestSlice()) / 1000.0);
             json.writeStringField("refusal", gateway.lastRefusal());
             number(json, "refused_ms", gateway.lastRefusal() == null ? Double.NaN : gateway.now() - gateway.refusedAt());
         });
--- a/src/main/java/tinroad/core/Gateway.java
+++ b/src/main/java/tinroad/core/Gateway.java
@@ -141,7 +141,7 @@
         this.controller = module.apply(new Acts());
         this.repeats = new Repeats(settings.freshFor());
         this.figures = new Figures(classNames);
-        this.reconfiguration = new Reconfiguration(new Told(), timers);
+        this.reconfiguration = new Reconfiguration(new Told(), timers, clock);
         catalogSince = clock.now();
         settings.classes().forEach(this::bounds);
         comeback = watch(false);
@@ -306,6 +306,11 @@
         return reconfiguration.waiting() + changesUntold;
     }
 
+    /** How long the longest slice of the last change took, in ms: so long an event had to wait for it. */
+    public double longestSlice() {
+        return reconfiguration.longestSlice();
+    }
+
     /** So many later versions are known whose change it was not told of yet. */
     public void changesUntold(int versions) {
         changesUntold = versions;
--- a/src/main/java/tinroad/core/Reconfiguration.java
+++ b/src/main/java/tinroad/core/Reconfiguration.java
@@ -37,14 +37,18 @@
 
     private final Target target;
     private final Timers timers;
+    private final Clock clock;
     private final ArrayDeque<Pending> waiting = new ArrayDeque<>();
     private Step step = Step.STAGING;
     /** So many entries of the first that waits are through this step. */
     private int through;
+    /** The longest slice of the version that came last, in ms: what an event had to wait for. */
+    private double longestSlice;
 
-    Reconfiguration(Target target, Timers timers) {
+    Reconfiguration(Target target, Timers timers, Clock clock) {
         this.target = target;
         this.timers = timers;
+        this.clock = clock;
     }
 
     /** Takes a version in its turn; {@code end} hears whether it came in force, once nothing is left to do for it. */
@@ -71,11 +75,18 @@
         }
     }
 
+    /** How long the longest slice of the last version took, in ms; 0 before the first. */
+    double longestSlice() {
+        return longestSlice;
+    }
+
     private void slice() {
         Pending p = waiting.peek();
         if (p == null) {
             return;
         }
+        double begun = clock.now();
+        longestSlice = step == Step.STAGING && through == 0 ? 0 : longestSlice;
         if (step == Step.SETTLING) {
             settle(p);
         } else if (!target.stage(classes(p.delta), tenants(p.delta))) {
@@ -86,6 +97,7 @@
                 commit(p);
             }
         }
+        longestSlice = Math.max(longestSlice, clock.now() - begun);
         if (!waiting.isEmpty()) {
             timers.after(0, this::slice);
         }
--- a/src/main/java/tinroad/node/CatalogUpdates.java
+++ b/src/main/java/tinroad/node/CatalogUpdates.java
@@ -6,14 +6,18 @@
 import java.util.concurrent.Executor;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
 import java.util.function.IntConsumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.slf4j.event.Level;
 import tinroad.catalog.Catalog;
 import tinroad.catalog.Change;
 import tinroad.catalog.Delta;
 import tinroad.catalog.Editor;
 import tinroad.catalog.Whole;
+import tinroad.changelog.LogFollower;
+import tinroad.changelog.Position;
 import tinroad.config.ConfigException;
 import tinroad.config.ConfigSource;
 import tinroad.config.GatewayConfig;
@@ -30,14 +34,18 @@
     private final Gateway gateway;
     private final Executor loop;
     private final Editor editor;
+    /** What is followed, or null. */
+    private final LogFollower follower;
     private final ScheduledThreadPoolExecutor thread;
 
-    /** What a configuration that was read again says, and how many classes and tenants differ from what serves. */
-    record Reread(GatewayConfig config, Change change) { }
+    /** What a configuration that was read again says, how its classes and tenants differ, and whether that is to come in force. */
+    record Reread(GatewayConfig config, Change change, boolean taken) { }
 
-    CatalogUpdates(Gateway gateway, Executor loop) {
+    /** Updates of {@code gateway}, whose catalog is that of its start; those of a change log come by {@code follower}, or null. */
+    CatalogUpdates(Gateway gateway, Executor loop, LogFollower follower) {
         this.gateway = gateway;
         this.loop = loop;
+        this.follower = follower;
         editor = new Editor(gateway.catalog());
         thread = new ScheduledThreadPoolExecutor(1, task -> {
             Thread t = new Thread(task, "catalog");
@@ -47,6 +55,34 @@
         gateway.onFree(places -> free(places, editor::routeFree), places -> free(places, editor::tenantFree));
     }
 
+    /** Begins to look into the log, and does again {@code poll} ms after each look. */
+    void follow(double poll) {
+        if (follower != null) {
+            thread.scheduleWithFixedDelay(this::look, 0, Math.max(1, (long) poll), TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void look() {
+        try {
+            boolean more = true;
+            while (more) {
+                LogFollower.Step step = follower.step(editor);
+                tell(step.line());
+                more = step.taken() != null && bring(step.taken());
+            }
+        } catch (RuntimeException e) {
+            // Guards the looks to come, which an exception would end.
+            LOG.error("can't follow the change log", e);
+        }
+    }
+
+    private void tell(String line) {
+        if (line != null) {
+            LOG.warn("{}", line);
+            refused(line);
+        }
+    }
+
     private void free(int[] places, IntConsumer told) {
         try {
             thread.execute(() -> {
@@ -61,34 +97,52 @@
 
     /** Reads the configuration and compares it with the last version that was made; blocks. */
     Reread read(ConfigSource source) throws ConfigException {
-        return onThread(() -> compare(source));
+        return onThread(() -> {
+            Whole whole = new Whole(editor.current());
+            GatewayConfig config = source.read(whole);
+            return new Reread(config, change(whole), false);
+        });
     }
 
     /**
      * Reads the configuration and has the gateway go on with its classes and tenants; blocks until they are checked, and not until
      * they are in force.
+     *
+     * @param asked whether somebody waits to be told why they don't count
      */
-    Reread apply(ConfigSource source) throws ConfigException {
+    Reread apply(ConfigSource source, boolean asked) throws ConfigException {
         return onThread(() -> {
-            Reread reread = compare(source);
-            if (reread.change.size() > 0) {
-                Editor.Outcome outcome = editor.offerWhole(reread.change);
-                if (outcome instanceof Editor.Outcome.Taken taken) {
-                    thread.execute(() -> bring(taken.next(), taken.delta()));
-                } else {
-                    throw new ConfigException(outcome instanceof Editor.Outcome.Refused refused
-                            ? String.join("\n", refused.faults()) : "settings changed while they were read");
-                }
+            Whole whole = new Whole(editor.current());
+            GatewayConfig config = source.read(whole);
+            Change change = change(whole);
+            Editor.Outcome.Taken taken = null;
+            if (follower != null) {
+                LogFollower.Step step = follower.whole(editor, whole);
+                tell(asked ? step.line() : null);
+                taken = step.taken();
+            } else if (change.size() > 0) {
+                taken = offer(change);
             }
-            return reread;
+            if (taken != null) {
+                Editor.Outcome.Taken later = taken;
+                thread.execute(() -> bring(later));
+            }
+            return new Reread(config, change, taken != null);
         });
     }
 
-    private Reread compare(ConfigSource source) throws ConfigException {
+    private Editor.Outcome.Taken offer(Change change) throws ConfigException {
+        Editor.Outcome outcome = editor.offerWhole(change);
+        if (outcome instanceof Editor.Outcome.Taken taken) {
+            return taken;
+        }
+        throw new ConfigException(outcome instanceof Editor.Outcome.Refused refused ? String.join("\n", refused.faults())
+                : LogFollower.line(change, outcome));
+    }
+
+    private Change change(Whole whole) {
         Catalog base = editor.current();
-        Whole whole = new Whole(base);
-        GatewayConfig config = source.read(whole);
-        return new Reread(config, whole.change(base.epoch(), base.number() + 1));
+        return whole.change(base.epoch(), base.number() + 1);
     }
 
     private <T> T onThread(Callable<T> task) throws ConfigException {
@@ -108,15 +162,21 @@
         }
     }
 
-    /** Hands the gateway a version, and waits until it is in force. */
-    private boolean bring(Catalog next, Delta delta) {
+    /** Hands the gateway a version, and waits until it is in force; false where it never is. */
+    private boolean bring(Editor.Outcome.Taken taken) {
+        Catalog next = taken.next();
+        Delta delta = taken.delta();
         CompletableFuture<Boolean> end = new CompletableFuture<>();
         try {
-            loop.execute(() -> gateway.change(next, delta, end::complete));
+            int untold = untold(next);
+            loop.execute(() -> {
+                gateway.changesUntold(untold);
+                gateway.change(next, delta, end::complete);
+            });
             boolean inForce = end.get();
             if (inForce) {
-                LOG.info("settings in force: epoch {}, number {}, {} classes and {} tenants changed", next.epoch(), next.number(),
-                        delta.classes().size(), delta.tenants().size());
+                LOG.atLevel(follower == null ? Level.INFO : Level.DEBUG).log("settings in force: epoch {}, number {}, {} classes and {} tenants changed",
+                        next.epoch(), next.number(), delta.classes().size(), delta.tenants().size());
             }
             return inForce;
         } catch (RejectedExecutionException | ExecutionException e) {
@@ -127,6 +187,13 @@
         }
     }
 
+    /** How many later versions the log was seen to hold beyond this one. */
+    private int untold(Catalog next) {
+        Position newest = follower == null ? null : follower.newest();
+        boolean later = newest != null && newest.epoch() == next.epoch();
+        return later ? (int) Math.max(0, Math.min(Integer.MAX_VALUE, newest.number() - next.number())) : 0;
+    }
+
     private void refused(String text) {
         loop.execute(() -> gateway.changeRefused(text));
     }
--- a/src/main/java/tinroad/node/Server.java
+++ b/src/main/java/tinroad/node/Server.java
@@ -1,6 +1,10 @@
 package tinroad.node;
 
 import tinroad.OverloadController;
+import tinroad.catalog.Catalog;
+import tinroad.changelog.ChangeFolder;
+import tinroad.changelog.LogFollower;
+import tinroad.changelog.Position;
 import tinroad.config.ConfigException;
 import tinroad.config.ConfigSource;
 import tinroad.config.Differences;
@@ -15,6 +19,7 @@
 import tinroad.operator.CatalogSettings;
 import tinroad.operator.FleetSettings;
 import tinroad.operator.StateSettings;
+import tinroad.recovery.Memory;
 import tinroad.recovery.Rereads;
 import tinroad.roster.RosterReporter;
 import io.netty.channel.ChannelFuture;
@@ -96,10 +101,13 @@
         rosterAt = config.roster();
         succession = new Succession(directory, config.name());
         engine = new EngineLink(loop, config.engine(), config.site().gaugeNames(), config.name(), config.seed());
-        gateway = new Gateway(config.site(), config.seed(), clock, this::after, engine, OverloadController::new,
+        LogFollower follower = follower(catalogSettings);
+        Catalog read = Catalog.of(0, 0, config.site().classNames(), config.site().settings().classes(), config.site().tenantNames(),
+                config.site().settings().tenants());
+        gateway = new Gateway(config.site(), follower == null ? read : follower.locate(read), config.seed(), clock, this::after, engine, OverloadController::new,
                 LoggerFactory.getLogger("gateway"));
         front = new FastCgiFront(clock, gateway, config.sockets(), config.memoryMb());
-        updates = new CatalogUpdates(gateway, loop);
+        updates = new CatalogUpdates(gateway, loop, follower);
         this.catalogSettings = catalogSettings;
         rereads = new Rereads(config.name(), config.seed());
         roster = new RosterReporter(loop, config.roster(), config.name(), config.seed());
@@ -113,6 +121,16 @@
         }
     }
 
+    /** Who follows the change log, from no earlier on than what lasted tells; null where there is none. */
+    private LogFollower follower(CatalogSettings set) {
+        if (set.log() == null) {
+            return null;
+        }
+        Memory memory = remembering == null ? Memory.NONE : remembering.memory();
+        return new LogFollower(new ChangeFolder(set.log(), ChangeFolder.KEEP), "change log " + set.log(),
+                memory.epoch() > 0 ? new Position(memory.epoch(), memory.number()) : null);
+    }
+
     private void save() {
         // First: guards the saves to come against one that fails.
         after(saveEvery, this::save);
@@ -143,6 +161,7 @@
         if (config.control() != null) {
             listening(new ControlServer(gateway, () -> fleet == null ? null : fleet.membership()).listen(loop, config.control()), config.control());
         }
+        updates.follow(catalogSettings.poll());
         // Guards the requests that come while a new version starts: until it takes work, all go to the old one.
         boolean beside = FastCgiFront.taken(config.listen(), false) && !FastCgiFront.taken(config.listen(), true);
         if (beside) {
@@ -202,17 +221,17 @@
      * these are to count at once; all else in it counts at the next start. Blocks while it reads.
      */
     public void reload(ConfigSource source) throws ConfigException {
-        goOnWith(reread(source));
+        goOnWith(reread(source, true));
     }
 
-    private CatalogUpdates.Reread reread(ConfigSource source) throws ConfigException {
-        return catalogSettings.onReload() ? updates.apply(source) : updates.read(source);
+    private CatalogUpdates.Reread reread(ConfigSource source, boolean asked) throws ConfigException {
+        return catalogSettings.inPlace() ? updates.apply(source, asked) : updates.read(source);
     }
 
     private void goOnWith(CatalogUpdates.Reread reread) {
         GatewayConfig next = reread.config();
         List<String> later = new ArrayList<>(Differences.between(config, next));
-        if (!catalogSettings.onReload() && reread.change().size() > 0) {
+        if (!catalogSettings.inPlace() && reread.change().size() > 0) {
             later.add("settings.classes and settings.orgs: " + reread.change().size() + " differ");
         }
         if (!later.isEmpty()) {
@@ -301,11 +320,11 @@
 
     private void watch(ConfigSource source) {
         share(succession.shared());
-        if (rereads.due(clock.now(), engine.reached())) {
+        if (rereads.due(clock.now(), engine.reached()) && source.changed()) {
             try {
-                CatalogUpdates.Reread next = reread(source);
+                CatalogUpdates.Reread next = reread(source, false);
                 boolean moved = !(next.config().engine().equals(engineAt) && next.config().roster().equals(rosterAt));
-                if (moved || catalogSettings.onReload() && next.change().size() > 0) {
+                if (moved || next.taken()) {
                     LOG.info("engine gone: the configuration has changed unheard");
                     goOnWith(next);
                 }
--- a/src/test/java/tinroad/cli/SettingsInPlaceTest.java
+++ b/src/test/java/tinroad/cli/SettingsInPlaceTest.java
@@ -55,7 +55,7 @@
         configured = text -> text.replace(ORDER, classes).replace(ACME, tenants).replace("127.0.0.1:0\", \"engine", control + "\", \"engine");
     }
 
-    private static String free() throws IOException {
+    static String free() throws IOException {
         try (ServerSocket port = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
             return "127.0.0.1:" + port.getLocalPort();
         }
@@ -69,7 +69,7 @@
         signal("HUP");
     }
 
-    private static JsonNode settings(String door) throws IOException {
+    static JsonNode settings(String door) throws IOException {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         ByteArrayOutputStream err = new ByteArrayOutputStream();
         int status = Main.run(new String[] {"figures", "--of", "settings", "--control", door, "--output", "json"}, InputStream.nullInputStream(),
@@ -78,7 +78,7 @@
         return new ObjectMapper().readTree(out.toByteArray());
     }
 
-    private static String value(JsonNode settings, String name) {
+    static String value(JsonNode settings, String name) {
         for (JsonNode row : settings) {
             if (row.path("what").asText().equals(name)) {
                 return row.path("is").asText();
@@ -219,18 +219,17 @@
         tenants = orgs(0, 5000, "7");
         InetSocketAddress at = start(1024, 4000);
         String first = inForce("hash");
-        Socket caller = connect(at, "127.0.0.1");
         hangUp(kinds(2000, "500"), orgs(0, 50, "8").replace(ACME, "") + orgs(50, 5000, "7"));
         logged("settings in force: epoch 0, number 1, 0 classes and 50 tenants changed");
         assertEquals(hashOfTheFile(), inForce("hash"));
         hangUp(kinds(1, "900"), ACME);
         logged("settings in force: epoch 0, number 2, 2000 classes and 5000 tenants changed");
-        assertEquals("Status: 400 Bad Request", ask(caller, 1, "kind1999", "acme"));
-        assertEquals("Status: 200 OK", ask(caller, 2, "kind0", "acme"));
+        assertEquals("Status: 400 Bad Request", ask(connect(at, "127.0.0.1"), 1, "kind1999", "acme"));
+        assertEquals("Status: 200 OK", ask(connect(at, "127.0.0.1"), 2, "kind0", "acme"));
         hangUp(kinds(2000, "500"), orgs(0, 5000, "7"));
         logged("settings in force: epoch 0, number 3, 2000 classes and 5000 tenants changed");
         assertEquals(first, inForce("hash"));
-        assertEquals("Status: 200 OK", ask(caller, 3, "kind1999", "org4999"));
+        assertEquals("Status: 200 OK", ask(connect(at, "127.0.0.1"), 3, "kind1999", "org4999"));
     }
 
     @Test
--- a/src/test/java/tinroad/control/ControlServerTest.java
+++ b/src/test/java/tinroad/control/ControlServerTest.java
@@ -94,13 +94,13 @@
         String hash = h.gateway.catalog().hash();
         h.pass(250);
         assertEquals("HTTP/1.1 200 OK\n{\"epoch\":0,\"number\":0,\"hash\":\"" + hash + "\",\"classes\":2,\"tenants\":1,\"since_ms\":250,"
-                + "\"lag\":0,\"refusal\":null,\"refused_ms\":null}", call("GET /api/settings"));
+                + "\"lag\":0,\"longest_slice_ms\":0.0,\"refusal\":null,\"refused_ms\":null}", call("GET /api/settings"));
         Editor editor = new Editor(h.gateway.catalog());
         Editor.Outcome.Taken taken = (Editor.Outcome.Taken) editor.offer(new Change(0, 1, Map.of(), Set.of("order"), Map.of(), Set.of()));
         h.gateway.change(taken.next(), taken.delta(), inForce -> { });
         h.gateway.changeRefused("class \"x\": " + "y".repeat(1000));
         assertTrue(call("GET /api/settings").contains("\"number\":0,\"hash\":\"" + hash + "\",\"classes\":2,\"tenants\":1,\"since_ms\":250,"
-                + "\"lag\":1,\"refusal\":\"class \\\"x\\\": yyy"));
+                + "\"lag\":1,\"longest_slice_ms\":0.0,\"refusal\":\"class \\\"x\\\": yyy"));
         h.pass(40);
         String after = call("GET /api/settings");
         assertTrue(after.contains("\"number\":1,\"hash\":\"" + taken.next().hash() + "\",\"classes\":1,\"tenants\":1,\"since_ms\":40,\"lag\":0,"), after);
