--- a/src/main/java/tinroad/cli/LabCommand.java
+++ b/src/main/java/tinroad/cli/LabCommand.java
@@ -20,6 +20,10 @@
 import tinroad.lab.Lab;
 import tinroad.lab.Report;
 import tinroad.lab.plan.Plan;
+import tinroad.lab.scale.Scale;
+import tinroad.lab.scale.ScaleReader;
+import tinroad.lab.scale.ScaleRun;
+import tinroad.lab.scale.Sweep;
 import tinroad.lab.script.Script;
 import tinroad.lab.script.ScriptReader;
 import tinroad.lab.stand.World;
@@ -30,16 +34,18 @@
 /** {@code lab}: plays a fleet of real gateways with faults between them, and judges what became of every request. */
 public final class LabCommand extends Command {
     /** What the lab is asked for. */
-    enum Act { RUN, MODEL, MEMBERS, COMPARE, LIST }
+    enum Act { RUN, MODEL, MEMBERS, COMPARE, SCALE, LIST }
 
     private static final String SCRIPTS = "lab";
+    /** What the names of scripts of the scale run begin with. */
+    private static final String SWEEPS = "scale-";
     private static final String NONE = "none";
     private static final double[] LOSSES = {0, 0.05, 0.2, 0.4};
     private static final String ENDING = ".conf";
 
-    @Argument(index = 0, metaVar = "run|model|members|compare|list", required = true,
+    @Argument(index = 0, metaVar = "run|model|members|compare|scale|list", required = true,
             usage = "play a script with processes, or on virtual time; a table of the membership on virtual time; compare two programs;"
-                    + " list the scripts that ship")
+                    + " play a sweep of hollow gateways beside real ones; list the scripts that ship")
     private Act act;
 
     @Argument(index = 1, metaVar = "SCRIPT", usage = "a file, or the name of a script that ships")
@@ -51,7 +57,7 @@
     @Option(name = "--seeds", metaVar = "A..B", usage = "compare: the seeds, from A to B (default: 1..5); model: one line of figures for each of them")
     private String seeds;
 
-    @Option(name = "--jar", metaVar = "FILE", usage = "the gateways' program (default: this one); compare: given twice")
+    @Option(name = "--jar", metaVar = "FILE", usage = "the gateways' program (default: this one); compare: given twice; scale: may be, an earlier and a later one in the same fleet")
     private List<String> jars = new ArrayList<>();
 
     @Option(name = "--operator", metaVar = "FILE", usage = "the gateways' operator file (default: none); compare: given twice, none stands for none")
@@ -72,7 +78,7 @@
     @Override
     About about() {
         return new About("plays a fleet of real gateways with faults between them",
-                "tinroad lab run first --seed 3 --out found/first", "0  rules kept", "1  a rule broken, or the fleet did not start",
+                "tinroad lab run first --seed 3 --out found/first", "0  rules kept", "1  a rule broken, the fleet did not start, or a size was not carried",
                 "2  wrong arguments, or a script with faults, a line for each");
     }
 
@@ -85,6 +91,7 @@
                 case MODEL -> model(out);
                 case MEMBERS -> members(out);
                 case COMPARE -> compare(out, err);
+                case SCALE -> scale(out, err);
             };
         } catch (OperatorException e) {
             e.faults().forEach(fault -> err.println("tinroad: " + fault));
@@ -104,6 +111,11 @@
         List<List<Object>> rows = new ArrayList<>();
         try (Stream<Path> files = Files.list(Path.of(SCRIPTS))) {
             for (Path file : files.filter(f -> f.toString().endsWith(ENDING)).sorted().toList()) {
+                if (file.getFileName().toString().startsWith(SWEEPS)) {
+                    Scale s = ScaleReader.read(file);
+                    rows.add(List.of(file.getFileName().toString().replace(ENDING, ""), s.held().gateways(), s.sizes().size() * s.seconds() / 1000, s.title()));
+                    continue;
+                }
                 Script s = ScriptReader.read(file);
                 rows.add(List.of(file.getFileName().toString().replace(ENDING, ""), s.fleet().gateways(), s.length() / 1000, s.title()));
             }
@@ -113,11 +125,15 @@
     }
 
     private Script script() throws OperatorException {
+        return ScriptReader.read(scriptFile());
+    }
+
+    private Path scriptFile() {
         if (script == null) {
             throw new IllegalArgumentException("lab " + act.name().toLowerCase(Locale.ROOT) + " needs a SCRIPT ('tinroad help lab' tells more)");
         }
         Path shipped = Path.of(SCRIPTS, script + ENDING);
-        return ScriptReader.read(!script.contains("/") && Files.exists(shipped) ? shipped : Path.of(script));
+        return !script.contains("/") && Files.exists(shipped) ? shipped : Path.of(script);
     }
 
     private static String self() {
@@ -226,6 +242,26 @@
         return LongStream.rangeClosed(Long.parseLong(text.replaceAll("\\..*", "")), Long.parseLong(text.replaceAll(".*\\.", ""))).toArray();
     }
 
+    /** A sweep; with --out its points, fits and charts are added to those in the folder. */
+    private int scale(PrintStream out, PrintStream err) throws IOException, InterruptedException, OperatorException {
+        Scale played = ScaleReader.read(scriptFile());
+        Path work = Files.createTempDirectory("tinroad-scale");
+        try {
+            Sweep sweep = new ScaleRun(played, new ScaleRun.Options(self(), jars.isEmpty() ? List.of(self()) : jars, work, err)).play();
+            if (folder != null) {
+                sweep.write(Path.of(folder));
+            }
+            if (output == Output.JSON) {
+                sweep.json().forEach(out::println);
+            } else {
+                output.print(List.of("x", "role", "metric", "value", "unit", "n", "note"), sweep.rows(), out);
+            }
+            return sweep.refused() ? FAILED : FINE;
+        } finally {
+            Lab.delete(work);
+        }
+    }
+
     private int compare(PrintStream out, PrintStream err) throws IOException, InterruptedException, OperatorException {
         if (jars.size() != 2) {
             throw new IllegalArgumentException("compare needs --jar twice");
--- a/src/main/java/tinroad/fleet/Membership.java
+++ b/src/main/java/tinroad/fleet/Membership.java
@@ -97,6 +97,7 @@
     private double lastTick;
     private double selfSince;
     private boolean left;
+    private long walked;
 
     /** A member that stands as {@code self} says, and knows these addresses to begin with. */
     public Membership(Claim self, List<String> seeds, Tuning tuning, long seed, Out out) {
@@ -147,6 +148,7 @@
         if (now >= nextSync) {
             // While something is not clear, more often: after a cut there is much to be put right.
             nextSync = now + (suspects.isEmpty() ? tuning.sync() : tuning.period()) * random.nextDouble(0.75, 1.25);
+            walked += members.size();
             members.values().removeIf(h -> h.claim.status().over() && now - h.since > tuning.kept());
             sync();
         }
@@ -239,6 +241,7 @@
                     return h;
                 }
             }
+            walked += members.size();
             members.forEach((name, h) -> {
                 if (!h.claim.status().over()) {
                     round.add(name);
@@ -257,6 +260,7 @@
 
     /** A few others, drawn: those that answer, or, {@code suspected}, also those that may. */
     private List<Held> pick(int most, String except, boolean suspected) {
+        walked += members.size();
         List<Held> all = new ArrayList<>(members.values().stream().filter(h -> h.claim.status() == Status.ALIVE
                 || suspected && h.claim.status() == Status.SUSPECT).filter(h -> !h.claim.name().equals(except)).toList());
         List<Held> picked = new ArrayList<>();
@@ -274,6 +278,7 @@
         List<Held> there = pick(1, "", true);
         Map<String, List<Claim>> gone = new LinkedHashMap<>();
         Set<String> known = new HashSet<>();
+        walked += 2L * members.size();
         members.values().stream().filter(h -> !h.claim.status().over()).forEach(h -> known.add(h.claim.address()));
         seeds.stream().filter(a -> !known.contains(a)).forEach(a -> gone.put(a, List.of(self)));
         // Who is held dead, and lives, must hear of it: only another stay brings it back.
@@ -290,6 +295,7 @@
 
     /** A few parts of all that is held, the next ones each time: what it costs does not grow with the fleet. */
     private void tell(String address, int parts, boolean wants) {
+        walked += members.size();
         List<Held> all = new ArrayList<>(members.values());
         for (int part = 0; part < parts && (part == 0 || part * (SYNC_PART - 1) < all.size()); part++) {
             List<Claim> claims = new ArrayList<>();
@@ -433,6 +439,7 @@
         if (first != null && first.status() == Status.SUSPECT) {
             picked.add(first);
         }
+        walked += 2L * riding.size();
         riding.values().stream().sorted(Comparator.comparingInt(r -> r.sent)).limit(tuning.riding()).forEach(r -> {
             r.sent++;
             picked.add(r.claim);
@@ -483,6 +490,11 @@
         return h == null ? null : h.claim;
     }
 
+    /** Entries that were walked so far, of what is held and of what is told on: what the size of a fleet costs, counted. */
+    public long walked() {
+        return walked;
+    }
+
     /** How far this member doubts itself: 0 is not at all. */
     public int health() {
         return health;
--- a/src/main/java/tinroad/gossip/Carrier.java
+++ b/src/main/java/tinroad/gossip/Carrier.java
@@ -5,7 +5,9 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
@@ -61,15 +63,16 @@
 
     /** Opens the socket and begins, as this member that knows these addresses; on the event loop. */
     public ChannelFuture start(String name, String zone, long life, List<String> seeds, long seed) {
-        ChannelFuture bound = new Bootstrap().group(loop).channel(NioDatagramChannel.class).handler(new SimpleChannelInboundHandler<DatagramPacket>() {
-            @Override
-            protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
-                heard(packet);
-            }
+        return start(name, zone, life, seeds, seed, new ChannelHandler[0]);
+    }
 
-            /** A member that is gone answers with an ICMP error: probes tell of it. */
+    /** The same with handlers between the socket and this, for the lab: they count, lose and delay what goes through. */
+    public ChannelFuture start(String name, String zone, long life, List<String> seeds, long seed, ChannelHandler... between) {
+        ChannelFuture bound = new Bootstrap().group(loop).channel(NioDatagramChannel.class).handler(new ChannelInitializer<NioDatagramChannel>() {
             @Override
-            public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) { }
+            protected void initChannel(NioDatagramChannel ch) {
+                ch.pipeline().addLast(between).addLast(new Packets());
+            }
         }).bind(at);
         bound.addListener(done -> {
             if (done.isSuccess()) {
@@ -84,6 +87,18 @@
         return bound;
     }
 
+    /** What the socket brings. */
+    private final class Packets extends SimpleChannelInboundHandler<DatagramPacket> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
+            heard(packet);
+        }
+
+        /** A member that is gone answers with an ICMP error: probes tell of it. */
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) { }
+    }
+
     private static String text(InetSocketAddress address) {
         return address.getAddress().getHostAddress() + ":" + address.getPort();
     }
--- a/src/main/java/tinroad/lab/GatewayProcess.java
+++ b/src/main/java/tinroad/lab/GatewayProcess.java
@@ -15,9 +15,9 @@
  * One process of a gateway, {@code serve} from a jar. A shell stands by it that kills it once the pipe from the lab
  * closes, so that no gateway outlives the lab, however that ends.
  */
-final class GatewayProcess {
+public final class GatewayProcess {
     /** The flags of the platform's {@code run}. */
-    private static final List<String> FLAGS = List.of("-Xms16m", "-Xmx56m", "-Xmn5m", "-XX:SurvivorRatio=3",
+    public static final List<String> FLAGS = List.of("-Xms16m", "-Xmx56m", "-Xmn5m", "-XX:SurvivorRatio=3",
             "-XX:MaxDirectMemorySize=24m", "-XX:MaxMetaspaceSize=40m", "-XX:ReservedCodeCacheSize=16m", "-Xss512k",
             "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-XX:-UsePerfData", "-Xshare:auto",
             "-XX:+ExitOnOutOfMemoryError", "-Djava.net.preferIPv4Stack=true", "-Dio.netty.allocator.type=pooled",
@@ -48,7 +48,7 @@
     }
 
     /** Starts one; {@code program} is a jar, or a class path of several entries; {@code operator} is its operator file, or null. */
-    static GatewayProcess start(String program, Path folder, Path operator) throws IOException {
+    public static GatewayProcess start(String program, Path folder, Path operator) throws IOException {
         List<String> command = new ArrayList<>(List.of("sh", "-c", WATCH, "sh", folder.resolve("log").toString(),
                 Path.of(System.getProperty("java.home"), "bin", "java").toString()));
         command.addAll(FLAGS);
@@ -67,12 +67,13 @@
         return new GatewayProcess(watch, Long.parseLong(pid));
     }
 
-    long pid() {
+    /** Its process id. */
+    public long pid() {
         return pid;
     }
 
     /** The exit status, once it has ended; 128 and more is a signal. */
-    CompletableFuture<Integer> onExit() {
+    public CompletableFuture<Integer> onExit() {
         return watch.onExit().thenApply(Process::exitValue);
     }
 
@@ -84,14 +85,14 @@
     }
 
     /** SIGKILL. */
-    void kill() {
+    public void kill() {
         if (process != null) {
             process.destroyForcibly();
         }
     }
 
     /** Any other signal, by its name. */
-    void signal(String name) throws IOException {
+    public void signal(String name) throws IOException {
         try {
             new ProcessBuilder("kill", "-" + name, Long.toString(pid)).start().waitFor();
         } catch (InterruptedException e) {
@@ -100,7 +101,7 @@
     }
 
     /** Resident memory in MB; 0 once it has ended. */
-    double memoryMb() {
+    public double memoryMb() {
         try {
             return Files.readAllLines(Path.of("/proc", Long.toString(pid), "status")).stream().filter(l -> l.startsWith("VmRSS:"))
                     .mapToDouble(l -> Double.parseDouble(l.replaceAll("\\D+", "")) / 1024).findFirst().orElse(0);
@@ -110,7 +111,7 @@
     }
 
     /** Open descriptors; 0 once it has ended. */
-    int descriptors() {
+    public int descriptors() {
         int n = 0;
         try (DirectoryStream<Path> all = Files.newDirectoryStream(Path.of("/proc", Long.toString(pid), "fd"))) {
             for (Path ignored : all) {
--- a/src/main/java/tinroad/lab/Lab.java
+++ b/src/main/java/tinroad/lab/Lab.java
@@ -10,10 +10,7 @@
 import java.io.IOException;
 import java.io.PrintStream;
 import java.io.UncheckedIOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
-import java.net.UnknownHostException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -83,7 +80,6 @@
     private static final int FIRST_PROXY = 100;
     private static final int FIRST_CHECKS = 150;
     private static final int ROSTER_HOST = 250;
-    private static final int LOCK_HOST = 254;
     private static final int MOST_GATEWAYS = 60;
     private static final int MOST_PROXIES = 40;
     private static final ObjectMapper JSON = new ObjectMapper();
@@ -159,8 +155,7 @@
     private final org.HdrHistogram.Histogram lateness = new org.HdrHistogram.Histogram(60_000_000, 3);
     private World world;
     private RosterStand roster;
-    private ServerSocket lock;
-    private String net;
+    private LoopbackRange range;
     private long zeroNanos = System.nanoTime();
     private double lastTick = Double.NaN;
     private volatile boolean over;
@@ -183,7 +178,7 @@
 
     /** Plays the plan; blocks until it is over. */
     public Outcome play() throws IOException, InterruptedException {
-        takeNet();
+        range = LoopbackRange.take(CALLERS_PORT);
         zeroNanos = System.nanoTime();
         Files.createDirectories(options.folder);
         onLoop(this::build);
@@ -241,28 +236,8 @@
 
     // --- addresses ---
 
-    /** A range of loopback addresses that no other lab uses: its ports are then free, whatever they are. */
-    private void takeNet() throws IOException {
-        for (int n = 0; n < 4000; n++) {
-            long start = ProcessHandle.current().pid() + n + (hashCode() & 0xff);
-            net = "127." + (20 + start % 200) + "." + (1 + start / 200 % 250) + ".";
-            try {
-                lock = new ServerSocket(CALLERS_PORT, 1, InetAddress.getByName(net + LOCK_HOST));
-                return;
-            } catch (java.net.BindException e) {
-                // Another lab's.
-            }
-        }
-        throw new IOException("no range of loopback addresses is free");
-    }
-
     private InetSocketAddress address(int host, int port) {
-        try {
-            return new InetSocketAddress(InetAddress.getByName(net + host), port);
-        } catch (UnknownHostException e) {
-            // Can't happen: it is a literal address.
-            throw new UncheckedIOException(e);
-        }
+        return range.address(host, port);
     }
 
     private static int host(int gateway) {
@@ -408,9 +383,9 @@
     private Path operator(Member m) throws IOException {
         Path keys = Files.writeString(options.folder.resolve("keys"), Base64.getEncoder().encodeToString(
                 Long.toHexString(Draw.stream(plan.seed(), "keys").nextLong() | Long.MIN_VALUE).getBytes(StandardCharsets.US_ASCII)) + "\n");
-        return Files.writeString(m.folder.resolve("operator.conf"), Files.readString(options.operator).replace("@HOST@", net + host(m.number))
+        return Files.writeString(m.folder.resolve("operator.conf"), Files.readString(options.operator).replace("@HOST@", range.net() + host(m.number))
                 .replace("@KEYS@", keys.toAbsolutePath().toString())
-                .replace("@ZONE@", "z" + plan.zone(m.number)).replace("@FIRST@", net + host(0)).replace("@SECOND@", net + host(1)));
+                .replace("@ZONE@", "z" + plan.zone(m.number)).replace("@FIRST@", range.net() + host(0)).replace("@SECOND@", range.net() + host(1)));
     }
 
     private void note(Member m, String what) {
@@ -420,9 +395,9 @@
     private void write(Member m, boolean cold) throws IOException {
         Files.createDirectories(m.folder);
         ObjectNode c = JSON.createObjectNode().put("name", "g" + (script.fleet().sameName().contains(m.number) ? 0 : m.number))
-                .put("listen", net + host(m.number) + ":" + GATEWAY_PORT)
-                .put("engine", net + host(m.number) + ":" + m.enginePort)
-                .put("roster", net + host(m.number) + ":" + ROSTER_PORT)
+                .put("listen", range.net() + host(m.number) + ":" + GATEWAY_PORT)
+                .put("engine", range.net() + host(m.number) + ":" + m.enginePort)
+                .put("roster", range.net() + host(m.number) + ":" + ROSTER_PORT)
                 .put("seed", Long.toHexString(Draw.stream(plan.seed(), "gateway " + m.number + " " + System.nanoTime()).nextLong()))
                 .put("stop_ms", script.fleet().stop());
         c.putObject("limits").put("cores", 1.0).put("memory_mb", script.fleet().memoryMb()).put("sockets", script.fleet().sockets());
@@ -791,8 +766,8 @@
         keepers.shutdownNow();
         group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
         relays.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
-        if (lock != null) {
-            lock.close();
+        if (range != null) {
+            range.close();
         }
     }
 }
--- a/src/main/java/tinroad/lab/stand/Wire.java
+++ b/src/main/java/tinroad/lab/stand/Wire.java
@@ -6,19 +6,20 @@
 import java.util.Map;
 
 /** The client proxy's side of FastCGI 1.0: whole requests out, and what a response says. */
-final class Wire {
-    static final int END_REQUEST = 3;
-    static final int STDOUT = 6;
-    static final int HEADER = 8;
+public final class Wire {
+    /** Types of records, and the length of a record's header. */
+    public static final int END_REQUEST = 3;
+    public static final int STDIN = 5;
+    public static final int STDOUT = 6;
+    public static final int HEADER = 8;
     private static final int BEGIN_REQUEST = 1;
     private static final int PARAMS = 4;
-    private static final int STDIN = 5;
     private static final int SHORT = 0x80;
 
     private Wire() { }
 
     /** A whole request under this number of its connection. */
-    static ByteBuf request(ByteBufAllocator alloc, int id, Map<String, String> fields, byte[] body) {
+    public static ByteBuf request(ByteBufAllocator alloc, int id, Map<String, String> fields, byte[] body) {
         ByteBuf out = alloc.buffer();
         header(out, BEGIN_REQUEST, id, 8).writeShort(1).writeByte(1).writeZero(5);
         ByteBuf pairs = alloc.buffer();
@@ -38,7 +39,8 @@
         return out;
     }
 
-    private static ByteBuf header(ByteBuf out, int type, int id, int length) {
+    /** The header of a record. */
+    public static ByteBuf header(ByteBuf out, int type, int id, int length) {
         return out.writeByte(1).writeByte(type).writeShort(id).writeShort(length).writeShort(0);
     }
 
@@ -51,8 +53,9 @@
     }
 
     /** A CGI response: status, or 0 where there is none to be read, the two fields that matter, and the body. */
-    record Response(int status, double stayAway, boolean last, String body) {
-        static Response read(String text) {
+    public record Response(int status, double stayAway, boolean last, String body) {
+        /** What this text says. */
+        public static Response read(String text) {
             int end = text.indexOf("\r\n\r\n");
             if (end < 0 || !text.startsWith("Status: ")) {
                 return new Response(0, 0, false, "");
--- a/src/main/java/tinroad/model/MembersModel.java
+++ b/src/main/java/tinroad/model/MembersModel.java
@@ -95,6 +95,7 @@
     private double loss;
     private double now;
     private long packets;
+    private long walkedBefore;
     private long bytes;
     private long falseSuspicions;
 
@@ -201,12 +202,18 @@
 
     /** Counts anew from now on. */
     public void countAnew() {
+        walkedBefore += walked();
         packets = 0;
         bytes = 0;
         falseSuspicions = 0;
         falseDeaths.clear();
     }
 
+    /** Entries that all members have walked since the counts began. */
+    public long walked() {
+        return nodes.stream().mapToLong(n -> n.membership.walked()).sum() - walkedBefore;
+    }
+
     /** Invariants that were broken. */
     public List<String> broken() {
         return broken;
--- a/src/test/java/tinroad/lab/script/ScriptTest.java
+++ b/src/test/java/tinroad/lab/script/ScriptTest.java
@@ -61,7 +61,8 @@
     @Test
     void whatShipsCanBePlayed() throws Exception {
         try (Stream<Path> files = Files.list(Path.of("lab"))) {
-            List<Path> scripts = files.filter(f -> f.toString().endsWith(".conf")).toList();
+            // Scripts of the scale run have another form: ScaleReaderTest reads them.
+            List<Path> scripts = files.filter(f -> f.toString().endsWith(".conf") && !f.getFileName().toString().startsWith("scale-")).toList();
             assertEquals(21, scripts.size());
             for (Path script : scripts) {
                 assertTrue(ScriptReader.read(script).title().length() > 10, script::toString);
--- a/src/test/java/tinroad/model/MembersModelTest.java
+++ b/src/test/java/tinroad/model/MembersModelTest.java
@@ -37,6 +37,21 @@
         }
     }
 
+    /** What a member walks grows with the fleet, but no faster: no walk lies within a walk. What it sends does not grow with it. */
+    @Test
+    void whatAMemberWalksGrowsNoFasterThanTheFleet() {
+        double[] walked = new double[2];
+        double[] packets = new double[2];
+        int[] sizes = {20, 80};
+        for (int i = 0; i < sizes.length; i++) {
+            joined(sizes[i], 6).pass(20_000);
+            walked[i] = (double) m.walked() / sizes[i];
+            packets[i] = (double) m.packets() / sizes[i];
+        }
+        assertTrue(walked[1] > 2 * walked[0] && walked[1] < 5 * walked[0], () -> walked[0] + " entries of 20, " + walked[1] + " of 80");
+        assertTrue(packets[1] < 1.2 * packets[0], () -> packets[0] + " datagrams of 20, " + packets[1] + " of 80");
+    }
+
     @Test
     void aMemberThatStoodStillForLessThanTwoSecondsIsNotTakenForDeadNorTakesOthers() {
         joined(50, 4);
