Tell a fleet at rest from one that has just met, and what the machine did not carry

A fleet that has just met sends full datagrams for as long as each member tells on each claim, so its figures are no slope of the same law: they have names of their own. Where the hollow gateways report less often than they are to, the machine starves them, and there is no figure. Operator files for each program.

Measured: ScaleReaderTest, FitTest, SmallFleetTest and MainTest pass.

--- a/src/main/java/tinroad/cli/LabCommand.java
+++ b/src/main/java/tinroad/cli/LabCommand.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.stream.IntStream;
 import java.util.stream.LongStream;
 import java.util.stream.Stream;
 import org.kohsuke.args4j.Argument;
@@ -60,7 +61,7 @@
     @Option(name = "--jar", metaVar = "FILE", usage = "the gateways' program (default: this one); compare: given twice; scale: may be, an earlier and a later one in the same fleet")
     private List<String> jars = new ArrayList<>();
 
-    @Option(name = "--operator", metaVar = "FILE", usage = "the gateways' operator file (default: none); compare: given twice, none stands for none")
+    @Option(name = "--operator", metaVar = "FILE", usage = "the gateways' operator file (default: none); compare: given twice, none stands for none; scale: once for each --jar")
     private List<String> operators = new ArrayList<>();
 
     @Option(name = "--remembers", usage = "model: what a gateway learned lasts over restarts, as the script has its folders")
@@ -245,9 +246,11 @@
     /** A sweep; with --out its points, fits and charts are added to those in the folder. */
     private int scale(PrintStream out, PrintStream err) throws IOException, InterruptedException, OperatorException {
         Scale played = ScaleReader.read(scriptFile());
+        List<String> programs = jars.isEmpty() ? List.of(self()) : jars;
         Path work = Files.createTempDirectory("tinroad-scale");
         try {
-            Sweep sweep = new ScaleRun(played, new ScaleRun.Options(self(), jars.isEmpty() ? List.of(self()) : jars, work, err)).play();
+            Sweep sweep = new ScaleRun(played, new ScaleRun.Options(self(), programs, IntStream.range(0, programs.size())
+                    .mapToObj(this::operator).toList(), work, err)).play();
             if (folder != null) {
                 sweep.write(Path.of(folder));
             }
--- a/src/main/java/tinroad/fleet/Membership.java
+++ b/src/main/java/tinroad/fleet/Membership.java
@@ -495,6 +495,11 @@
         return walked;
     }
 
+    /** Claims that it still tells on: none in a fleet at rest, one for each member in a fleet that has just met. */
+    public int riding() {
+        return riding.size();
+    }
+
     /** How far this member doubts itself: 0 is not at all. */
     public int health() {
         return health;
--- a/src/main/java/tinroad/lab/scale/Hollow.java
+++ b/src/main/java/tinroad/lab/scale/Hollow.java
@@ -22,8 +22,6 @@
  * settings read and applied, and, where its engine is gone, reconnects and readings again. It has no module, front or engine.
  */
 final class Hollow {
-    private static final double SILENT = 3_600_000;
-
     private final HollowSpec spec;
     private final int number;
     private final EventLoop loop;
@@ -72,7 +70,7 @@
                 engine.start(new Nobody());
             }
             carrier.start(name(), spec.zones().name(number), (long) clock.now(), spec.seeds(), spec.seed() + number, wire)
-                    .addListener(bound -> startMs = bound.isSuccess() ? clock.now() - begunAt : SILENT);
+                    .addListener(bound -> startMs = bound.isSuccess() ? clock.now() - begunAt : Double.NaN);
         });
     }
 
@@ -125,6 +123,11 @@
         return carrier.membership() == null ? 0 : carrier.membership().walked();
     }
 
+    /** Claims that it still tells on. */
+    int riding() {
+        return carrier.membership() == null ? 0 : carrier.membership().riding();
+    }
+
     ZoneWire wire() {
         return wire;
     }
--- a/src/main/java/tinroad/lab/scale/HollowHost.java
+++ b/src/main/java/tinroad/lab/scale/HollowHost.java
@@ -127,7 +127,7 @@
     /** Sums over all of them, each read on the loop that owns it. */
     private ObjectNode figures() throws InterruptedException {
         ObjectNode to = JSON.createObjectNode();
-        long[] sums = new long[6];
+        long[] sums = new long[7];
         int real = spec.zones().real().size();
         long[][] reals = new long[real][4];
         int[] known = {Integer.MAX_VALUE, 0};
@@ -143,7 +143,7 @@
             }).await();
         }
         to.put("count", all.size()).put("in", sums[0]).put("inBytes", sums[1]).put("out", sums[2]).put("outBytes", sums[3])
-                .put("walked", sums[4]).put("entries", sums[5]).put("knownLeast", known[0]).put("knownSum", known[1])
+                .put("walked", sums[4]).put("entries", sums[5]).put("riding", sums[6]).put("knownLeast", known[0]).put("knownSum", known[1])
                 .put("startMs", start[0] / all.size()).put("stallMs", stall);
         stall = 0;
         ArrayNode of = to.putArray("real");
@@ -165,6 +165,7 @@
         sums[3] += w.out.bytes;
         sums[4] += h.walked();
         sums[5] += h.entries();
+        sums[6] += h.riding();
         for (int r = 0; r < reals.length; r++) {
             reals[r][0] += w.fromReal[r].datagrams;
             reals[r][1] += w.fromReal[r].bytes;
--- a/src/main/java/tinroad/lab/scale/ProcessFigures.java
+++ b/src/main/java/tinroad/lab/scale/ProcessFigures.java
@@ -10,25 +10,25 @@
 /**
  * What the system tells of a process at one moment, as in proc(5).
  *
- * @param cpuMs processor time so far, of all its threads that live
- * @param loopMs the same of its event loops
+ * @param cpuMs processor time so far, of all its threads that live or lived, in steps of 10 ms
+ * @param loopMs the same of its event loops, in ns
  * @param residentMb resident memory
  */
 record ProcessFigures(double cpuMs, double loopMs, double residentMb, int descriptors) {
     private static final long PATIENCE_S = 10;
+    /** Where user and system time stand after the name in {@code stat}, and what a tick of them is. */
+    private static final int USER = 11;
+    private static final double TICK_MS = 10;
 
     /** The figures of this process; zeros once it has ended. */
     static ProcessFigures of(long pid) throws IOException {
         Path at = Path.of("/proc", Long.toString(pid));
-        double cpu = 0;
         double loops = 0;
         try (DirectoryStream<Path> threads = Files.newDirectoryStream(at.resolve("task"))) {
             for (Path thread : threads) {
-                double ms = ms(thread);
                 String name = name(thread);
-                cpu += ms;
                 // Netty's own name of a loop's thread, cut to what the system keeps of it, and the hollow ones'.
-                loops += name.startsWith("multiThreadIoEv") || name.equals(HollowHost.LOOP) ? ms : 0;
+                loops += name.startsWith("multiThreadIoEv") || name.equals(HollowHost.LOOP) ? ms(thread) : 0;
             }
         }
         int open = 0;
@@ -39,7 +39,14 @@
         }
         double resident = Files.readAllLines(at.resolve("status"), StandardCharsets.US_ASCII).stream().filter(l -> l.startsWith("VmRSS:"))
                 .mapToDouble(l -> Double.parseDouble(l.replaceAll("\\D+", "")) / 1024).findFirst().orElse(0);
-        return new ProcessFigures(cpu, loops, resident, open);
+        return new ProcessFigures(ofAllThreadsMs(at), loops, resident, open);
+    }
+
+    /** Not the sum of its threads: what those had that have ended, the compiler's come and go, would be lost. */
+    private static double ofAllThreadsMs(Path at) throws IOException {
+        String stat = Files.readString(at.resolve("stat"), StandardCharsets.ISO_8859_1);
+        String[] words = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
+        return (Double.parseDouble(words[USER]) + Double.parseDouble(words[USER + 1])) * TICK_MS;
     }
 
     private static double ms(Path thread) {
--- a/src/main/java/tinroad/lab/scale/ScalePoint.java
+++ b/src/main/java/tinroad/lab/scale/ScalePoint.java
@@ -63,6 +63,11 @@
     private static final double SELF_MB = 1.5;
     private static final double MEMBER_MB = 0.0015;
     private static final double ENTRY_MB = 0.0008;
+    /** Claims that a gateway at rest still tells on, fewer than. */
+    private static final double AT_REST = 1;
+    /** Reports a second of a gateway that keeps its pace, and the part of them that it makes at least where the machine carries it. */
+    private static final double REPORTS = 4;
+    private static final double CARRIED = 0.8;
     /** Less of all cores than this left is a machine that was full. */
     private static final double FULL = 0.1;
 
@@ -86,8 +91,11 @@
     private RosterCounter roster;
     private SettingsFile hollowSettings;
     private Load relay;
-    private double knownShare = Double.NaN;
+    /** What the names of figures end with that hang on what the fleet does: nothing where it is at rest. */
+    private String regime = "";
     private String note = "";
+    /** How much of their reports the hollow gateways made in time. */
+    private double kept = 1;
 
     /** What the processes and counters say at one moment. */
     private record Look(double at, Map<Long, ProcessFigures> processes, JsonNode[] hollow, long[] roster, Map<Integer, long[]> reports,
@@ -173,7 +181,8 @@
             Path own = Files.createDirectories(folder.resolve(RealGateway.name(i)));
             SettingsFile settings = settings(own.resolve("config.json"), RealGateway.name(i), zones.real().get(i));
             settings.publish(0);
-            Files.writeString(own.resolve("operator.conf"), String.format(Locale.ROOT, "fleet { listen = \"%s:%d\", seeds = [%s], zone = \"%s\", key-file = \"%s\" }%n",
+            Path set = options.operators().get(program);
+            Files.writeString(own.resolve("operator.conf"), (set == null ? "" : Files.readString(set)) + String.format(Locale.ROOT, "%nfleet { listen = \"%s:%d\", seeds = [%s], zone = \"%s\", key-file = \"%s\" }%n",
                     zones.real().get(i), FLEET_PORT, seeds().stream().map(s -> '"' + s + '"').collect(Collectors.joining(", ")), zones.name(i),
                     keys.toAbsolutePath()));
             boolean first = options.jars().size() > 1 && program == 0;
@@ -240,33 +249,58 @@
         return Stream.of(of).mapToDouble(n -> n.path(field).asDouble()).sum();
     }
 
-    /** Waits until all know all, or as long as the script allows. */
+    /** Waits until all know all and tell no more of it, or as long as the script allows. */
     private void settle() throws IOException, InterruptedException {
         if (hollow == 0) {
             return;
         }
-        JsonNode[] now = askAll("figures");
+        JsonNode[] first = askAll("figures");
         double begun = System.currentTimeMillis();
+        double cpu = hollowCpuMs();
+        JsonNode[] now = first;
         int others = sizes.gateways() - 1;
-        double joined = Double.NaN;
+        boolean joined = false;
         while (true) {
-            knownShare = others == 0 ? 1 : sum(now, "knownSum") / ((double) hollow * others);
-            if (Stream.of(now).allMatch(n -> n.path("knownLeast").asInt() >= others)) {
-                joined = System.currentTimeMillis() - begun;
-                break;
+            if (!joined && Stream.of(now).allMatch(n -> n.path("knownLeast").asInt() >= others)) {
+                joined = true;
+                met(first, now, System.currentTimeMillis() - begun, hollowCpuMs() - cpu);
             }
-            if (System.currentTimeMillis() - begun > scale.settle()) {
+            boolean over = System.currentTimeMillis() - begun > scale.settle();
+            if (over && !joined) {
+                add("hollow", "joined_ms", "ms", Double.NaN, hollow, "not within " + ScaleReader.plain(scale.settle()) + " ms");
+            }
+            if (over || joined && sum(now, "riding") / hollow < AT_REST) {
                 break;
             }
             Thread.sleep(KNOWN_LOOK_MS);
             now = askAll("figures");
         }
-        if (Double.isNaN(joined)) {
-            note = String.format(Locale.ROOT, "a gateway knew %.0f%% of the others when it was measured", 100 * knownShare);
-        }
+        double known = others == 0 ? 1 : sum(now, "knownSum") / ((double) hollow * others);
+        double riding = sum(now, "riding") / hollow;
         add("hollow", "start_ms", "ms", sum(now, "startMs") / hollows.size(), hollow, "from its settings read to its socket open");
-        add("hollow", "joined_ms", "ms", joined, hollow, "until all know all, after the last process had answered");
-        add("hollow", "known_part", "share", knownShare, hollow, "");
+        add("hollow", "known_part", "share", known, hollow, "");
+        add("hollow", "riding", "claims", riding, hollow, "still told on as the measured time begins");
+        if (riding >= AT_REST || !joined) {
+            regime = "_meeting";
+            note = String.format(Locale.ROOT, "a fleet that has just met: a gateway knew %.0f%% of the others, and told on %.0f claims", 100 * known, riding);
+        }
+    }
+
+    private double hollowCpuMs() throws IOException {
+        double sum = 0;
+        for (HollowProcess h : hollows) {
+            sum += ProcessFigures.of(h.pid()).cpuMs();
+        }
+        return sum;
+    }
+
+    /** What it took a gateway until all know all, from when the last process had answered. */
+    private void met(JsonNode[] first, JsonNode[] now, double ms, double cpuMs) {
+        String told = "until all know all, after the last process had answered";
+        add("hollow", "joined_ms", "ms", ms, hollow, told);
+        add("hollow", "join_cpu_ms", "ms", cpuMs / hollow, hollow, told);
+        add("hollow", "join_bytes", "B", (sum(now, "inBytes") + sum(now, "outBytes") - sum(first, "inBytes") - sum(first, "outBytes")) / hollow, hollow,
+                "in and out, " + told);
     }
 
     // --- load and changes ---
@@ -441,6 +475,8 @@
         if (left < FULL) {
             note += (note.isEmpty() ? "" : "; ") + String.format(Locale.ROOT, "the machine was full: %.0f%% of its cores left", 100 * left);
         }
+        double reported = after.roster[0] - before.roster[0] - after.reports.keySet().stream().mapToDouble(k -> after.reports.get(k)[0] - before.reports.get(k)[0]).sum();
+        kept = hollow == 0 ? 1 : reported / hollow / ((after.at - before.at) / 1e3) / REPORTS;
         processes(before, after);
         wires(before, after);
         requests(late);
@@ -455,8 +491,8 @@
                 String end = (loaded ? "_loaded" : "") + suffix;
                 if (!these.isEmpty()) {
                     List<Long> pids = these.stream().map(r -> r.process.pid()).toList();
-                    add("real", "cpu_part" + end, "part of a core", cpu(before, after, pids) / ms / pids.size(), pids.size(), "");
-                    add("real", "loop_part" + end, "part of a core", loop(before, after, pids) / ms / pids.size(), pids.size(), "");
+                    add("real", "cpu_part" + end + regime, "part of a core", cpu(before, after, pids) / ms / pids.size(), pids.size(), "");
+                    add("real", "loop_part" + end + regime, "part of a core", loop(before, after, pids) / ms / pids.size(), pids.size(), "");
                     add("real", "resident_mb" + end, "MB", resident(after, pids) / pids.size(), pids.size(), "");
                     add("real", "descriptors" + end, "", pids.stream().mapToInt(p -> after.processes.get(p).descriptors()).average().orElse(0),
                             pids.size(), "");
@@ -465,12 +501,12 @@
         });
         List<Long> pids = hollows.stream().map(HollowProcess::pid).toList();
         if (hollow > 0) {
-            add("hollow", "cpu_part", "part of a core", cpu(before, after, pids) / ms / hollow, hollow, "");
-            add("hollow", "loop_part", "part of a core", loop(before, after, pids) / ms / hollow, hollow, "");
+            busy("cpu_part", "part of a core", cpu(before, after, pids) / ms / hollow, "");
+            busy("loop_part", "part of a core", loop(before, after, pids) / ms / hollow, "");
             add("hollow", "resident_mb", "MB", resident(after, pids) / hollow, hollow, "its part of a process that " + hollows.get(0).count()
                     + " share");
             add("hollow", "descriptors", "", pids.stream().mapToInt(p -> after.processes.get(p).descriptors()).sum() / (double) hollow, hollow, "");
-            add("hollow", "stall_ms", "ms", Stream.of(after.hollow).mapToDouble(n -> n.path("stallMs").asDouble()).max().orElse(0), hollow,
+            busy("stall_ms", "ms", Stream.of(after.hollow).mapToDouble(n -> n.path("stallMs").asDouble()).max().orElse(0),
                     "an event loop that " + hollows.get(0).count() / THREADS + " share");
         }
         add("roster", "cpu_part", "part of a core", (after.rosterCpuMs - before.rosterCpuMs) / ms, sizes.gateways(), "reports only, on one thread");
@@ -506,9 +542,12 @@
         String[] names = {"datagrams_in_s", "bytes_in_s", "datagrams_out_s", "bytes_out_s"};
         for (int i = 0; i < what.length; i++) {
             double each = (sum(after.hollow, what[i]) - sum(before.hollow, what[i])) / s / hollow + (i < 2 ? 0 : reports[i - 2]);
-            add("hollow", names[i], i % 2 == 0 ? "1/s" : "B/s", each, hollow, "");
+            busy(names[i], i % 2 == 0 ? "1/s" : "B/s", each, "");
         }
-        add("hollow", "walked_tick", "entries", (sum(after.hollow, "walked") - sum(before.hollow, "walked")) / hollow / s * TICK_MS / 1e3, hollow,
+        double datagrams = sum(after.hollow, "in") + sum(after.hollow, "out") - sum(before.hollow, "in") - sum(before.hollow, "out");
+        double cpuMs = cpu(before, after, hollows.stream().map(HollowProcess::pid).toList());
+        add("hollow", "cpu_us_datagram" + regime, "us", cpuMs * 1e3 / datagrams, hollow, "processor time for each datagram of the fleet, in or out");
+        busy("walked_tick", "entries", (sum(after.hollow, "walked") - sum(before.hollow, "walked")) / hollow / s * TICK_MS / 1e3,
                 "entries of the membership that are walked in a tick of 20 ms");
         String[] fields = {"to", "toBytes", "from", "fromBytes"};
         List<RealGateway> these = reals.stream().filter(r -> r.suffix.isEmpty()).toList();
@@ -518,7 +557,7 @@
                 double reported = i < 2 ? 0 : (after.reports.get(r.number)[i - 2] - before.reports.get(r.number)[i - 2]) / s;
                 each += (ofReal(after, r, fields[i]) - ofReal(before, r, fields[i])) / s / these.size() + reported / these.size();
             }
-            add("real", names[i], i % 2 == 0 ? "1/s" : "B/s", each, these.size(), "as counted by the hollow ones and the roster");
+            add("real", names[i] + regime, i % 2 == 0 ? "1/s" : "B/s", each, these.size(), "as counted by the hollow ones and the roster");
         }
     }
 
@@ -675,6 +714,16 @@
         });
     }
 
+    /** A figure of the hollow gateways that hangs on their keeping their pace: where the machine let them not, there is none. */
+    private void busy(String metric, String unit, double value, String own) {
+        if (kept >= CARRIED) {
+            add("hollow", metric + regime, unit, value, hollow, own);
+        } else {
+            add("hollow", metric + regime, unit, Double.NaN, hollow, String.format(Locale.ROOT, "not carried: the hollow gateways kept %.0f%% of their pace, "
+                    + "and came to %.4g", 100 * kept, value));
+        }
+    }
+
     private void add(String role, String metric, String unit, double value, long n, String own) {
         String told = own.isEmpty() || note.isEmpty() ? own + note : own + "; " + note;
         lines.add(new Line(run, scale.sweep().name().toLowerCase(Locale.ROOT), x, role, metric, unit, value, n, told));
--- a/src/main/java/tinroad/lab/scale/ScaleRun.java
+++ b/src/main/java/tinroad/lab/scale/ScaleRun.java
@@ -21,10 +21,11 @@
      *
      * @param hollowProgram this program, for the processes of the hollow gateways: a jar, or a class path
      * @param jars the programs of the real gateways: one, or an earlier one and a later one that play in the same fleet
+     * @param operators for each program a file of what its real gateways' operators set beside their fleet, or null
      * @param folder where the fleets' files are made, and deleted again
      * @param progress gets a line for each size
      */
-    public record Options(String hollowProgram, List<String> jars, Path folder, PrintStream progress) { }
+    public record Options(String hollowProgram, List<String> jars, List<Path> operators, Path folder, PrintStream progress) { }
 
     private final Scale scale;
     private final Options options;
@@ -55,7 +56,7 @@
                 }
             }
             if (refused != null) {
-                lines.add(new Line(run, name, x, "hollow", "cpu_part", "part of a core", Double.NaN, 0, "not carried: " + refused));
+                lines.add(new Line(run, name, x, "hollow", "cpu_part", "part of a core", Double.NaN, 0, "not played: " + refused));
             }
             if (options.progress != null) {
                 options.progress.printf(Locale.ROOT, "%s %s: %s, %.1f s%n", name, ScaleReader.plain(x), refused == null ? "played" : refused,
--- a/src/main/java/tinroad/lab/scale/Sweep.java
+++ b/src/main/java/tinroad/lab/scale/Sweep.java
@@ -82,7 +82,7 @@
 
     /** Whether a size was not carried. */
     public boolean refused() {
-        return lines.stream().anyMatch(l -> l.note().startsWith("not carried"));
+        return lines.stream().anyMatch(l -> l.note().startsWith("not played"));
     }
 
     /**
--- a/src/test/java/tinroad/lab/scale/SmallFleetTest.java
+++ b/src/test/java/tinroad/lab/scale/SmallFleetTest.java
@@ -5,6 +5,7 @@
 
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Collections;
 import java.util.List;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Test;
@@ -27,7 +28,8 @@
                 held { gateways = 22, rate = 30, changes = 360 }
                 fleet { real = 2, a-process = 10, zones = 3, regions = 2, delay = 2ms, region-delay = 5ms, engines-away = 0.1, pace = 20 }
                 """);
-        sweep = new ScaleRun(ScaleReader.read(file), new ScaleRun.Options(Program.CLASS_PATH, List.of(Program.CLASS_PATH), dir.resolve("run"), null)).play();
+        sweep = new ScaleRun(ScaleReader.read(file), new ScaleRun.Options(Program.CLASS_PATH, List.of(Program.CLASS_PATH),
+                Collections.singletonList(null), dir.resolve("run"), null)).play();
     }
 
     private static Line line(double x, String role, String metric) {
