--- a/src/main/java/tinroad/lab/scale/ScalePoint.java
+++ b/src/main/java/tinroad/lab/scale/ScalePoint.java
@@ -51,6 +51,8 @@
     private static final long PROBE_MS = 10;
     /** So long a change is waited for. */
     private static final double IN_FORCE_PATIENCE = 2000;
+    /** So long after the measured time a change that is late is still told, and one that was told is awaited by the hollow gateways. */
+    private static final double LATEST_CHANGE = 20_000;
     /** Descriptors that a gateway keeps for itself. */
     private static final int OWN_DESCRIPTORS = 128;
     private static final int LEAST_CONNECTIONS = 4;
@@ -376,7 +378,7 @@
             while (System.currentTimeMillis() < due) {
                 Thread.sleep(1);
             }
-            if (System.currentTimeMillis() > begun + ms) {
+            if (System.currentTimeMillis() > begun + ms + LATEST_CHANGE) {
                 break;
             }
             changed.told++;
@@ -604,7 +606,7 @@
                 * reals.stream().filter(r -> r.load != null && !changed.hopeless.contains(r.suffix)).count()) {
             Thread.sleep(LOOK_MS);
         }
-        String pace = changed.told + " changes, an hour's at " + ScaleReader.plain(scale.fleet().pace()) + " times the pace";
+        String pace = changed.told + " of " + changes() + " changes, an hour's at " + ScaleReader.plain(scale.fleet().pace()) + " times the pace";
         perProgram((suffix, some) -> {
             List<Double> took;
             synchronized (changed) {
@@ -621,6 +623,11 @@
             times("real", "reread", suffix, reread, "until the log has 'configuration read again'; of the settings, addresses only may count; " + pace);
         });
         JsonNode[] now = askAll("figures");
+        double latest = System.currentTimeMillis() + LATEST_CHANGE;
+        while (Stream.of(now).mapToInt(n -> n.path("inForceMs").size()).sum() < changed.told * hollow && System.currentTimeMillis() < latest) {
+            Thread.sleep(LOOK_MS);
+            now = askAll("figures");
+        }
         List<Double> hollowTimes = new ArrayList<>();
         Stream.of(now).forEach(n -> n.path("inForceMs").forEach(v -> hollowTimes.add(v.asDouble())));
         times("hollow", "reread", "", hollowTimes, "settings read and addresses applied, one gateway of a process after the other; " + pace);
