--- a/src/main/java/tinroad/cli/Usage.java
+++ b/src/main/java/tinroad/cli/Usage.java
@@ -82,7 +82,7 @@
             case "help" -> names + " " + own;
             case "state" -> "show verify " + own;
             case "catalog" -> "show diff check publish " + own;
-            case "lab" -> "run compare list " + own;
+            case "lab" -> "run compare scale list " + own;
             case "completion" -> "bash zsh " + own;
             default -> own;
         };
