--- a/src/main/java/tinroad/catalog/Editor.java
+++ b/src/main/java/tinroad/catalog/Editor.java
@@ -91,6 +91,11 @@
         if (c.epoch() == current.epoch() && c.number() <= current.number()) {
             return c.number() < current.number() || current.holds(c) ? new Outcome.Repeated() : new Outcome.Diverged(current.hash());
         }
+        if (c.after() != null && c.after().equals(current.hash())) {
+            // A file that was brought first: what it leads to serves already.
+            current = current.at(c.epoch(), c.number());
+            return new Outcome.Taken(current, new Delta(List.of(), List.of()));
+        }
         if (c.before() != null && !c.before().equals(current.hash())) {
             return new Outcome.Diverged(current.hash());
         }
--- a/src/main/java/tinroad/catalog/Table.java
+++ b/src/main/java/tinroad/catalog/Table.java
@@ -6,7 +6,7 @@
 import org.pcollections.TreePMap;
 
 /**
- * One table of a catalog, which never changes. A sorted tree: 40 bytes a node, where the hashed map of the same library takes 88.
+ * One table of a catalog, which never changes. A sorted tree: 40 bytes a node, where the hashed map of the same library takes 96 (measured).
  *
  * @param places how many places it was given at the first; later ones are the {@link Places}' to know
  */
--- a/src/main/java/tinroad/changelog/ChangeFolder.java
+++ b/src/main/java/tinroad/changelog/ChangeFolder.java
@@ -135,7 +135,8 @@
             if (!at.follows(newest)) {
                 throw new IOException("change " + at + " does not follow the newest, " + newest);
             }
-            String after = read(newest).change().after();
+            // A higher epoch may go on from another content: that is how a log that was damaged or rolled back is mended.
+            String after = at.epoch() > newest.epoch() ? c.before() : after(newest);
             if (!after.equals(c.before())) {
                 throw new IOException("change " + at + " leads on from content " + c.before() + ", and the newest, " + newest + ", led to " + after);
             }
@@ -144,6 +145,14 @@
         prune();
     }
 
+    private String after(Position newest) throws IOException {
+        try {
+            return read(newest).change().after();
+        } catch (DamagedException e) {
+            throw new IOException("the newest change, " + newest + ", is damaged: " + e.getMessage());
+        }
+    }
+
     private void link(Position at, byte[] bytes) throws IOException {
         Path part = folder.resolve(at.file() + "-" + UUID.randomUUID() + PART);
         try {
--- a/src/main/java/tinroad/changelog/LogFollower.java
+++ b/src/main/java/tinroad/changelog/LogFollower.java
@@ -22,7 +22,7 @@
     private final String name;
     /** What an earlier life had: the log may not end before it. */
     private Position least;
-    /** The last position under the epoch before this one. */
+    /** The last position of earlier epochs that was there when this one began. */
     private Position over;
     private Position newest;
     private String told;
@@ -104,7 +104,15 @@
         Position next = at.next();
         Object stamp = folder.stamp(next);
         if (stamp != null) {
-            return take(editor, next, stamp);
+            try {
+                return take(editor, next, stamp);
+            } catch (TroubleException e) {
+                Position instead = instead(editor.current());
+                if (instead == null) {
+                    throw e;
+                }
+                return take(editor, instead, folder.stamp(instead));
+            }
         }
         List<Object> seen = List.of(String.valueOf(folder.stamp()), at);
         boolean same = seen.equals(listed);
@@ -151,6 +159,22 @@
         return Step.NOTHING;
     }
 
+    /** A higher epoch that leads on from what serves, where the next change of this one can't be taken. */
+    private Position instead(Catalog now) throws IOException {
+        for (Position p : folder.positions()) {
+            if (p.epoch() > now.epoch() && p.number() == 1) {
+                try {
+                    if (now.hash().equals(folder.head(p).before())) {
+                        return p;
+                    }
+                } catch (DamagedException e) {
+                    // Not this one, then.
+                }
+            }
+        }
+        return null;
+    }
+
     private Step take(Editor editor, Position p, Object stamp) throws IOException, TroubleException {
         List<Object> attempt = List.of(p, String.valueOf(stamp), editor.current().hash());
         if (attempt.equals(tried) && looks % ANYWAY != 0) {
@@ -170,17 +194,23 @@
         if (!batch.faults().isEmpty()) {
             throw new TroubleException(refused(p, batch.faults().lines()));
         }
-        Position before = position(editor.current());
+        // Asked before: once the editor has taken it, nothing may fail any more.
+        Position end = lastBefore(p.epoch(), position(editor.current()));
         Outcome outcome = editor.offer(batch.change());
         if (!(outcome instanceof Outcome.Taken taken)) {
             throw new TroubleException(line(batch.change(), outcome));
         }
-        over = p.epoch() > before.epoch() && before.epoch() > 0 ? before : over;
+        over = end;
         newest = newest == null || newest.compareTo(p) < 0 ? p : newest;
         told = null;
         return new Step(taken, null);
     }
 
+    /** What {@link #over} is once this epoch serves. */
+    private Position lastBefore(long epoch, Position at) throws IOException {
+        return epoch <= at.epoch() ? over : folder.positions().stream().filter(p -> p.epoch() < epoch).reduce(at, (a, b) -> b);
+    }
+
     /**
      * Takes a settings file that was read again. The log leads: of a file that differs from what serves only one is taken whose
      * content the log knows as a later one, or any while the log is empty.
@@ -188,11 +218,11 @@
     public Step whole(Editor editor, Whole file) {
         Position at = position(editor.current());
         Change next = file.change(at.epoch(), at.number() + 1);
-        if (next.size() == 0) {
-            return Step.NOTHING;
-        }
         try {
             Position known = folder.locate(next.after());
+            if (next.size() == 0 && (known == null || known.compareTo(at) <= 0)) {
+                return Step.NOTHING;
+            }
             if (known == null && !folder.positions().isEmpty()) {
                 return new Step(null, "settings file not taken: " + name + " knows no change to its content, " + next.after());
             }
@@ -200,8 +230,13 @@
                 return new Step(null, "settings file not taken: it is that of " + known + ", and " + at + " serves");
             }
             Change change = known == null ? next : file.change(known.epoch(), known.number());
+            Position end = lastBefore(change.epoch(), at);
             Outcome outcome = editor.offerWhole(change);
-            return outcome instanceof Outcome.Taken taken ? new Step(taken, null) : new Step(null, "settings file not taken: " + line(change, outcome));
+            if (!(outcome instanceof Outcome.Taken taken)) {
+                return new Step(null, "settings file not taken: " + line(change, outcome));
+            }
+            over = end;
+            return new Step(taken, null);
         } catch (IOException e) {
             return new Step(null, "settings file not taken: " + name + " can't be read: " + e);
         }
--- a/src/main/java/tinroad/cli/CatalogCommand.java
+++ b/src/main/java/tinroad/cli/CatalogCommand.java
@@ -183,6 +183,8 @@
                     is = String.join("; ", batch.faults().lines());
                 } else if (last != null && !at.follows(last)) {
                     is = "does not follow " + last;
+                } else if (content != null && !content.equals(c.before()) && at.epoch() > last.epoch()) {
+                    is = "good, from another content: " + c.before();
                 } else if (content != null && !content.equals(c.before())) {
                     is = "leads on from content " + c.before() + ", and " + last + " led to " + content;
                 }
@@ -191,7 +193,7 @@
                 is = "damaged: " + e.getMessage();
                 content = null;
             }
-            good &= is.equals("good");
+            good &= is.startsWith("good");
             last = at;
             rows.add(List.of(at.toString(), is, size, content == null ? "" : content));
         }
