--- a/src/main/java/tinroad/lab/scale/ScalePoint.java
+++ b/src/main/java/tinroad/lab/scale/ScalePoint.java
@@ -364,14 +364,14 @@
     }
 
     /** Cuts the first zone off as long as the script has it, then changes the settings through the rest of the time. */
-    private void change(Changed changed) throws IOException, InterruptedException {
-        if (scale.fleet().cut() > 0) {
+    private void change(Changed changed, boolean changes) throws IOException, InterruptedException {
+        if (scale.fleet().cut() > 0 && (!changes || scale.sweep() == Scale.Sweep.CHANGES)) {
             askAll("cut 0");
             Thread.sleep((long) scale.fleet().cut());
             askAll("cut -1");
         }
         double ms = scale.seconds() - scale.fleet().cut();
-        int n = changes();
+        int n = changes ? changes() : 0;
         double begun = System.currentTimeMillis();
         for (int i = 1; i <= n; i++) {
             double due = begun + ms * (i - 0.5) / n;
@@ -445,16 +445,37 @@
         return new long[] {Long.parseLong(words[4]), Stream.of(words).skip(1).mapToLong(Long::parseLong).sum()};
     }
 
+    /** Where changes do not grow they have a time of their own after all else: what a gateway spends at rest holds none of them. */
     private void measure() throws IOException, InterruptedException {
         for (RealGateway r : reals) {
             r.skip();
         }
-        Look before = look();
+        boolean together = scale.sweep() == Scale.Sweep.CHANGES;
         Changed changed = new Changed();
+        Histogram late = new Histogram(60_000_000, 3);
+        Look before = look();
+        Look after = pass(changed, together, late);
+        double left = (double) (after.machine[0] - before.machine[0]) / Math.max(1, after.machine[1] - before.machine[1]);
+        if (left < FULL) {
+            note += (note.isEmpty() ? "" : "; ") + String.format(Locale.ROOT, "the machine was full: %.0f%% of its cores left", 100 * left);
+        }
+        double reported = after.roster[0] - before.roster[0] - after.reports.keySet().stream().mapToDouble(k -> after.reports.get(k)[0] - before.reports.get(k)[0]).sum();
+        kept = hollow == 0 ? 1 : reported / hollow / ((after.at - before.at) / 1e3) / REPORTS;
+        processes(before, after);
+        wires(before, after);
+        requests(late);
+        if (!together && changes() > 0) {
+            changeCost(before, after, pass(changed, true, new Histogram(60_000_000, 3)), changed);
+        }
+        changed(changed);
+    }
+
+    /** The measured time passes, with load and, {@code changes}, with changes; how all stands at its end. */
+    private Look pass(Changed changed, boolean changes, Histogram late) throws IOException, InterruptedException {
         IOException[] failed = new IOException[1];
         Thread changer = new Thread(() -> {
             try {
-                change(changed);
+                change(changed, changes);
             } catch (IOException e) {
                 failed[0] = e;
             } catch (InterruptedException e) {
@@ -463,7 +484,6 @@
         }, "changes");
         double end = System.nanoTime() / 1e6 + scale.seconds();
         changer.start();
-        Histogram late = new Histogram(60_000_000, 3);
         ask(scale.seconds(), late);
         while (System.nanoTime() / 1e6 < end) {
             Thread.sleep(1);
@@ -472,17 +492,17 @@
         if (failed[0] != null) {
             throw failed[0];
         }
-        Look after = look();
-        double left = (double) (after.machine[0] - before.machine[0]) / Math.max(1, after.machine[1] - before.machine[1]);
-        if (left < FULL) {
-            note += (note.isEmpty() ? "" : "; ") + String.format(Locale.ROOT, "the machine was full: %.0f%% of its cores left", 100 * left);
-        }
-        double reported = after.roster[0] - before.roster[0] - after.reports.keySet().stream().mapToDouble(k -> after.reports.get(k)[0] - before.reports.get(k)[0]).sum();
-        kept = hollow == 0 ? 1 : reported / hollow / ((after.at - before.at) / 1e3) / REPORTS;
-        processes(before, after);
-        wires(before, after);
-        requests(late);
-        changed(changed);
+        return look();
+    }
+
+    /** What a change costs a real gateway without load, beyond what it spends at rest. */
+    private void changeCost(Look before, Look rest, Look after, Changed changed) throws IOException, InterruptedException {
+        perProgram((suffix, some) -> {
+            List<Long> pid = List.of(some.get(0).process.pid());
+            double atRest = cpu(before, rest, pid) / (rest.at - before.at) * (after.at - rest.at);
+            add("real", "change_cpu_ms" + suffix, "ms", (cpu(rest, after, pid) - atRest) / Math.max(1, changed.told), changed.told,
+                    "processor time for each change of one entry, beyond that at rest; in steps of 10 ms for all of them");
+        });
     }
 
     private void processes(Look before, Look after) throws IOException, InterruptedException {
