--- a/src/main/java/tinroad/node/CatalogUpdates.java
+++ b/src/main/java/tinroad/node/CatalogUpdates.java
@@ -67,7 +67,11 @@
             boolean more = true;
             while (more) {
                 LogFollower.Step step = follower.step(editor);
-                tell(step.line());
+                if (follower.trouble() != null) {
+                    tell(step.line());
+                } else if (step.line() != null) {
+                    LOG.info("{}", step.line());
+                }
                 more = step.taken() != null && bring(step.taken());
             }
         } catch (RuntimeException e) {
