--- a/src/test/java/tinroad/cli/ServeTest.java
+++ b/src/test/java/tinroad/cli/ServeTest.java
@@ -172,10 +172,11 @@
         }
     }
 
+    /** A whole one: what is half written has a name of its own, and may stay so where its process is stopped. */
     private static void waitForFile(Path folder, String start) throws Exception {
         while (true) {
             try (Stream<Path> all = Files.list(folder)) {
-                if (all.anyMatch(p -> p.getFileName().toString().startsWith(start))) {
+                if (all.map(p -> p.getFileName().toString()).anyMatch(name -> name.startsWith(start) && !name.endsWith(".part"))) {
                     return;
                 }
             }
