--- a/src/main/java/tinroad/cli/Serve.java
+++ b/src/main/java/tinroad/cli/Serve.java
@@ -39,6 +39,10 @@
                 LOG.warn("SIGHUP is ignored, as this process was started so: the configuration is read again only"
                         + " while the engine is gone");
             }
+            String unused = ClassArchive.unused();
+            if (unused != null) {
+                LOG.warn("started without the archive of classes: {}; deploy/share-classes.sh makes it anew", unused);
+            }
             server.rehearse();
             if (server.start() != null) {
                 server.awaitEnd(this::reread);
