--- a/src/main/java/tinroad/node/CatalogUpdates.java
+++ b/src/main/java/tinroad/node/CatalogUpdates.java
@@ -41,25 +41,23 @@
     /** What a configuration that was read again says, how its classes and tenants differ, and whether that is to come in force. */
     record Reread(GatewayConfig config, Change change, boolean taken) { }
 
-    /** Updates of {@code gateway}, whose catalog is that of its start; those of a change log come by {@code follower}, or null. */
-    CatalogUpdates(Gateway gateway, Executor loop, LogFollower follower) {
+    /** Updates of {@code gateway}, which still has its {@code first} catalog; those of a change log come by {@code follower}, or null. */
+    CatalogUpdates(Gateway gateway, Catalog first, Executor loop, LogFollower follower) {
         this.gateway = gateway;
         this.loop = loop;
         this.follower = follower;
-        editor = new Editor(gateway.catalog());
+        editor = new Editor(first);
         thread = new ScheduledThreadPoolExecutor(1, task -> {
             Thread t = new Thread(task, "catalog");
             t.setDaemon(true);
             return t;
         });
-        gateway.onFree(places -> free(places, editor::routeFree), places -> free(places, editor::tenantFree));
+        loop.execute(() -> gateway.onFree(places -> free(places, editor::routeFree), places -> free(places, editor::tenantFree)));
     }
 
     /** Begins to look into the log, and does again {@code poll} ms after each look. */
     void follow(double poll) {
-        if (follower != null) {
-            thread.scheduleWithFixedDelay(this::look, 0, Math.max(1, (long) poll), TimeUnit.MILLISECONDS);
-        }
+        thread.scheduleWithFixedDelay(this::look, 0, Math.max(1, (long) poll), TimeUnit.MILLISECONDS);
     }
 
     private void look() {
--- a/src/main/java/tinroad/node/Server.java
+++ b/src/main/java/tinroad/node/Server.java
@@ -69,8 +69,12 @@
     /** What lasts, or null where nothing does. */
     private final Remembering remembering;
     private final double saveEvery;
-    private final CatalogUpdates updates;
     private final CatalogSettings catalogSettings;
+    private final Catalog first;
+    /** Who follows the change log, or null where there is none. */
+    private final LogFollower follower;
+    /** Made with the first settings that come later: a gateway that never hears of any has no thread for them. */
+    private CatalogUpdates updates;
     private final FleetSettings fleetSettings;
     /** What speaks with the other gateways, or null where nothing does. */
     private final Carrier fleet;
@@ -101,14 +105,14 @@
         rosterAt = config.roster();
         succession = new Succession(directory, config.name());
         engine = new EngineLink(loop, config.engine(), config.site().gaugeNames(), config.name(), config.seed());
-        LogFollower follower = follower(catalogSettings);
+        this.catalogSettings = catalogSettings;
+        follower = follower(catalogSettings);
         Catalog read = Catalog.of(0, 0, config.site().classNames(), config.site().settings().classes(), config.site().tenantNames(),
                 config.site().settings().tenants());
-        gateway = new Gateway(config.site(), follower == null ? read : follower.locate(read), config.seed(), clock, this::after, engine, OverloadController::new,
+        first = follower == null ? read : follower.locate(read);
+        gateway = new Gateway(config.site(), first, config.seed(), clock, this::after, engine, OverloadController::new,
                 LoggerFactory.getLogger("gateway"));
         front = new FastCgiFront(clock, gateway, config.sockets(), config.memoryMb());
-        updates = new CatalogUpdates(gateway, loop, follower);
-        this.catalogSettings = catalogSettings;
         rereads = new Rereads(config.name(), config.seed());
         roster = new RosterReporter(loop, config.roster(), config.name(), config.seed());
         gateway.add(front);
@@ -161,7 +165,9 @@
         if (config.control() != null) {
             listening(new ControlServer(gateway, () -> fleet == null ? null : fleet.membership()).listen(loop, config.control()), config.control());
         }
-        updates.follow(catalogSettings.poll());
+        if (follower != null) {
+            updates().follow(catalogSettings.poll());
+        }
         // Guards the requests that come while a new version starts: until it takes work, all go to the old one.
         boolean beside = FastCgiFront.taken(config.listen(), false) && !FastCgiFront.taken(config.listen(), true);
         if (beside) {
@@ -225,7 +231,14 @@
     }
 
     private CatalogUpdates.Reread reread(ConfigSource source, boolean asked) throws ConfigException {
-        return catalogSettings.inPlace() ? updates.apply(source, asked) : updates.read(source);
+        return catalogSettings.inPlace() ? updates().apply(source, asked) : updates().read(source);
+    }
+
+    private synchronized CatalogUpdates updates() {
+        if (updates == null) {
+            updates = new CatalogUpdates(gateway, first, loop, follower);
+        }
+        return updates;
     }
 
     private void goOnWith(CatalogUpdates.Reread reread) {
@@ -349,10 +362,16 @@
         }
     }
 
+    private synchronized void stopUpdates() {
+        if (updates != null) {
+            updates.close();
+        }
+    }
+
     @Override
     public void close() {
         keep();
-        updates.close();
+        stopUpdates();
         succession.close();
         group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
     }
