Write the capacity page's tables from its file and the scale run's results, and check them

Need: figures at the operators' target that nobody can make up: each with a run, a forecast's error or a stated assumption.

Change: `lab capacity [--check] PAGE` reads capacity.conf beside the page (HOCON, checked) and the scale run's result files, works out every row (formulas over the target's sizes, fits, points, constants of the code, a simulation of the module's count of a tenant), and writes the page's tables. A row is of the least sure kind that it rests on, else it is a fault with file and line. No number may stand on the page outside of the generator's output. docs/CAPACITY.md is the page; rows that wait for the scale run say so and are no figures. A test checks the repository's own page, takes each fit and run out of it by itself, and plays made-up pages that must fail.

--- a/src/main/java/tinroad/cli/LabCommand.java
+++ b/src/main/java/tinroad/cli/LabCommand.java
@@ -19,30 +19,32 @@
 import tinroad.lab.Comparison;
 import tinroad.lab.Lab;
 import tinroad.lab.Report;
+import tinroad.lab.capacity.CapacityPage;
 import tinroad.lab.plan.Plan;
 import tinroad.lab.script.Script;
 import tinroad.lab.script.ScriptReader;
 import tinroad.lab.stand.World;
 import tinroad.model.FleetModel;
 import tinroad.model.MembersSweep;
+import tinroad.operator.Fault;
 import tinroad.operator.OperatorException;
 
 /** {@code lab}: plays a fleet of real gateways with faults between them, and judges what became of every request. */
 public final class LabCommand extends Command {
     /** What the lab is asked for. */
-    enum Act { RUN, MODEL, MEMBERS, COMPARE, LIST }
+    enum Act { RUN, MODEL, MEMBERS, COMPARE, LIST, CAPACITY }
 
     private static final String SCRIPTS = "lab";
     private static final String NONE = "none";
     private static final double[] LOSSES = {0, 0.05, 0.2, 0.4};
     private static final String ENDING = ".conf";
 
-    @Argument(index = 0, metaVar = "run|model|members|compare|list", required = true,
+    @Argument(index = 0, metaVar = "run|model|members|compare|list|capacity", required = true,
             usage = "play a script with processes, or on virtual time; a table of the membership on virtual time; compare two programs;"
-                    + " list the scripts that ship")
+                    + " list the scripts that ship; write a capacity page's tables from its results")
     private Act act;
 
-    @Argument(index = 1, metaVar = "SCRIPT", usage = "a file, or the name of a script that ships")
+    @Argument(index = 1, metaVar = "SCRIPT", usage = "a file, or the name of a script that ships; capacity: the page")
     private String script;
 
     @Option(name = "--seed", usage = "decides all that is random")
@@ -60,6 +62,9 @@
     @Option(name = "--remembers", usage = "model: what a gateway learned lasts over restarts, as the script has its folders")
     private boolean remembers;
 
+    @Option(name = "--check", usage = "capacity: write nothing, and say what of the page is out of step")
+    private boolean check;
+
     @Option(name = "--size", metaVar = "N", usage = "members: how many, may be given several times (default: 10, 30, 100)")
     private List<Integer> sizes = new ArrayList<>();
 
@@ -72,7 +77,7 @@
     @Override
     About about() {
         return new About("plays a fleet of real gateways with faults between them",
-                "tinroad lab run first --seed 3 --out found/first", "0  rules kept", "1  a rule broken, or the fleet did not start",
+                "tinroad lab run first --seed 3 --out found/first", "0  rules kept", "1  a rule broken, the fleet did not start, or a page out of step",
                 "2  wrong arguments, or a script with faults, a line for each");
     }
 
@@ -85,6 +90,7 @@
                 case MODEL -> model(out);
                 case MEMBERS -> members(out);
                 case COMPARE -> compare(out, err);
+                case CAPACITY -> capacity(err);
             };
         } catch (OperatorException e) {
             e.faults().forEach(fault -> err.println("tinroad: " + fault));
@@ -190,6 +196,20 @@
         return FINE;
     }
 
+    /** Writes or checks the tables of a page; what is out of step is a line each. */
+    private int capacity(PrintStream err) throws IOException, OperatorException {
+        if (script == null) {
+            throw new IllegalArgumentException("lab capacity needs a PAGE ('tinroad help lab' tells more)");
+        }
+        if (!check) {
+            CapacityPage.write(Path.of(script));
+            return FINE;
+        }
+        List<Fault> found = CapacityPage.check(Path.of(script));
+        found.forEach(fault -> err.println("tinroad: " + fault));
+        return found.isEmpty() ? FINE : FAILED;
+    }
+
     private int play(PrintStream out, PrintStream err) throws IOException, InterruptedException, OperatorException {
         Report report = once(script(), seed, 0, folder == null ? null : Path.of(folder), err);
         print(report, out);
--- /dev/null
+++ b/src/main/java/tinroad/lab/capacity/Figures.java
@@ -0,0 +1,352 @@
+package tinroad.lab.capacity;
+
+import com.typesafe.config.Config;
+import com.typesafe.config.ConfigException;
+import com.typesafe.config.ConfigList;
+import com.typesafe.config.ConfigObject;
+import com.typesafe.config.ConfigValue;
+import java.io.IOException;
+import java.lang.reflect.RecordComponent;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import tinroad.fleet.Tuning;
+import tinroad.operator.CheckedFile;
+import tinroad.operator.Fault;
+import tinroad.operator.OperatorException;
+
+/**
+ * All figures of the page, worked out from its file, the result files and the constants of the code. Guards against figures
+ * with nothing behind them: what a row names has to be there, and a row is no surer than the least sure thing that it names.
+ */
+final class Figures {
+    /**
+     * A size of the target.
+     *
+     * @param formula over sizes above it, or empty
+     * @param source who gave it, empty for the operators
+     * @param assumed why it is taken to be so where nobody gave it, else empty
+     */
+    record Size(String name, double value, String formula, String text, String source, String assumed) { }
+
+    /** What a term came to. */
+    private record Term(double value, Kind kind, double error, String text, String missing) {
+        static Term of(double value, Kind kind, String text) {
+            return new Term(value, kind, Double.NaN, text, "");
+        }
+
+        static Term missing(String text, String why) {
+            return new Term(Double.NaN, Kind.COMPUTED, Double.NaN, text, why);
+        }
+    }
+
+    private static final Set<String> READ_FROM = new TreeSet<>(Set.of("fit", "point", "assumed", "code", "tuning", "row", "beyond", "worth"));
+
+    private final Config all;
+    private final Path folder;
+    private final Results results;
+    private final Map<String, Size> sizes = new LinkedHashMap<>();
+    private final Map<String, Row.Worked> rows = new LinkedHashMap<>();
+    private final Set<String> fits = new TreeSet<>();
+    private final List<Fault> faults = new ArrayList<>();
+
+    private Figures(Config all, Path folder) throws IOException {
+        this.all = all;
+        this.folder = folder;
+        results = new Results(files("points"), files("fits"), files("hollow-real"));
+        faults.addAll(results.faults());
+    }
+
+    /** The figures of this file; throws with all that is wrong in it. */
+    static Figures read(Path file) throws OperatorException, IOException {
+        Config all = CheckedFile.read(file, Figures.class);
+        Figures figures = new Figures(all, file.toAbsolutePath().getParent());
+        for (ConfigValue size : all.getList("target")) {
+            figures.size((ConfigObject) size);
+        }
+        for (ConfigValue row : (ConfigList) all.getValue("rows")) {
+            figures.row((ConfigObject) row);
+        }
+        if (!figures.faults.isEmpty()) {
+            throw new OperatorException(figures.faults.stream().distinct().sorted().toList());
+        }
+        return figures;
+    }
+
+    private List<Path> files(String key) {
+        return all.getStringList(key).stream().map(folder::resolve).toList();
+    }
+
+    private void wrong(ConfigObject at, String key, String text) {
+        faults.add(CheckedFile.fault(at.getOrDefault(key, at), key, text));
+    }
+
+    private void size(ConfigObject at) {
+        Config c = at.toConfig().withFallback(all.getConfig("each.target"));
+        String name = c.getString("name");
+        String size = c.getString("size");
+        try {
+            List<String> guessed = new ArrayList<>(List.of(c.getString("assumed")));
+            double value = Formula.value(size, other -> {
+                guessed.add(size(other).assumed());
+                return size(other).value();
+            });
+            String formula = size.matches("[0-9._eE-]+") ? "" : size;
+            if (sizes.put(name, new Size(name, value, formula, c.getString("text"), c.getString("source"), joined(guessed))) != null) {
+                wrong(at, "name", "must differ from the names of the other sizes");
+            }
+        } catch (IllegalArgumentException e) {
+            wrong(at, "size", e.getMessage());
+        }
+    }
+
+    private Size size(String name) {
+        if (!sizes.containsKey(name)) {
+            throw new IllegalArgumentException("names " + name + ", which is no size of the target and no term of this row");
+        }
+        return sizes.get(name);
+    }
+
+    // --- rows ---
+
+    private void row(ConfigObject at) {
+        Config c = at.toConfig().withFallback(all.getConfig("each.rows"));
+        Map<String, ConfigObject> named = new LinkedHashMap<>();
+        c.getObject("terms").entrySet().stream().sorted(Map.Entry.comparingByKey()).forEach(e -> named.put(e.getKey(), (ConfigObject) e.getValue()));
+        Row row = new Row(at, c.getString("id"), c.getString("table"), c.getString("what"), c.getString("unit"), c.getString("figure"), named,
+                Kind.valueOf(c.getString("kind").toUpperCase(Locale.ROOT)), c.getString("budget"), c.getString("mechanism"),
+                c.getString("wants"), c.getString("missing"));
+        if (rows.containsKey(row.id()) || sizes.containsKey(row.id())) {
+            wrong(at, "id", "must differ from the ids of the other rows and the names of sizes");
+            return;
+        }
+        Map<String, Term> terms = new LinkedHashMap<>();
+        named.forEach((name, term) -> terms.put(name, term(row, term)));
+        Set<String> used = new TreeSet<>();
+        // What a budget names has to be known; where a run is missing, it rests on none.
+        double budget = row.budget().isEmpty() ? Double.NaN : formula(row, "budget", row.budget(), terms, used);
+        boolean guessed = used.stream().anyMatch(this::guessed);
+        if (!row.budget().isEmpty() && row.mechanism().isEmpty() == row.wants().isEmpty()) {
+            wrong(at, "budget", "must have either a mechanism that carries it, or the one that it wants");
+        }
+        String missing = joined(terms.values().stream().map(Term::missing).toList());
+        if (missing.isEmpty() && !row.missing().isEmpty()) {
+            wrong(at, "missing", "stands as missing, but all that it names is there");
+        }
+        double value = Double.NaN;
+        double error = Double.NaN;
+        if (missing.isEmpty()) {
+            Set<String> figures = new TreeSet<>();
+            value = formula(row, "figure", row.figure(), terms, figures);
+            error = terms.values().stream().mapToDouble(Term::error).filter(e -> !Double.isNaN(e)).max().orElse(Double.NaN);
+            Kind kind = terms.values().stream().map(Term::kind).reduce(Kind.COMPUTED, Kind::and);
+            kind = figures.stream().anyMatch(this::guessed) ? Kind.ASSUMED : kind;
+            if (kind != row.kind()) {
+                wrong(at, "kind", "must be " + kind.text() + ", by what it names; found " + row.kind().text());
+            }
+            used.addAll(figures);
+            terms.keySet().stream().filter(name -> !used.contains(name)).forEach(name -> wrong(at, "figure", "does not use its term " + name));
+        }
+        List<String> texts = terms.entrySet().stream().map(e -> e.getKey() + ": " + e.getValue().text()).toList();
+        rows.put(row.id(), new Row.Worked(row, value, error, row.missing().isEmpty() ? missing : row.missing(), texts, budget, guessed));
+    }
+
+    private boolean guessed(String name) {
+        return sizes.containsKey(name) && !sizes.get(name).assumed().isEmpty();
+    }
+
+    private static String joined(List<String> texts) {
+        return texts.stream().filter(t -> !t.isEmpty()).distinct().reduce((a, b) -> a + "; " + b).orElse("");
+    }
+
+    private double formula(Row row, String key, String text, Map<String, Term> terms, Set<String> used) {
+        try {
+            double value = Formula.value(text, name -> {
+                used.add(name);
+                return terms.containsKey(name) ? terms.get(name).value() : size(name).value();
+            });
+            if (!Double.isFinite(value)) {
+                wrong(row.at(), key, "comes to no number");
+            }
+            return value;
+        } catch (IllegalArgumentException e) {
+            wrong(row.at(), key, e.getMessage());
+            return Double.NaN;
+        }
+    }
+
+    // --- terms ---
+
+    private Term term(Row row, ConfigObject at) {
+        Set<String> from = new TreeSet<>(at.keySet());
+        from.retainAll(READ_FROM);
+        if (from.size() != 1) {
+            wrong(at, "", "must have one of " + String.join(", ", READ_FROM));
+            return Term.of(Double.NaN, Kind.COMPUTED, "");
+        }
+        String key = from.iterator().next();
+        try {
+            return term(row, key, at.toConfig());
+        } catch (ConfigException.Missing e) {
+            wrong(at, key, "must stand beside what belongs to it: " + e.getMessage().replaceAll(".*setting found for key '(\\w+)'.*", "$1")
+                    + " is missing");
+        } catch (IllegalArgumentException e) {
+            wrong(at, key, e.getMessage());
+        } catch (IOException e) {
+            wrong(at, key, "can't be read: " + e.getMessage());
+        }
+        return Term.of(Double.NaN, row.kind(), "");
+    }
+
+    private Term term(Row row, String key, Config c) throws IOException {
+        return switch (key) {
+            case "fit" -> among(fit(row, c), c, "at");
+            case "point" -> among(point(row, c), c, "at");
+            case "assumed" -> Term.of(c.getDouble(key), Kind.ASSUMED, "assumed " + Numbers.text(c.getDouble(key)) + " (" + c.getString("source") + ")");
+            case "code" -> ofCode(constant(c), c.getString(key).replaceAll(".*/", "") + "." + c.getString("name"));
+            case "tuning" -> ofCode(tuning(c.getString(key)), "Tuning." + c.getString(key));
+            case "row" -> other(c.getString(key));
+            default -> among(sharing(c, key), c, key, "places");
+        };
+    }
+
+    private static Term ofCode(double value, String name) {
+        return Term.of(value, Kind.COMPUTED, "`" + name + "` = " + Numbers.text(value));
+    }
+
+    private double size(Config c, String key) {
+        return Formula.value(c.getString(key), name -> size(name).value());
+    }
+
+    /** No surer than the sizes that its settings name. */
+    private Term among(Term term, Config c, String... keys) {
+        Set<String> names = new TreeSet<>();
+        for (String key : keys) {
+            Formula.value(c.getString(key), name -> {
+                names.add(name);
+                return size(name).value();
+            });
+        }
+        boolean assumed = names.stream().anyMatch(this::guessed);
+        return assumed ? new Term(term.value(), Kind.ASSUMED, term.error(), term.text(), term.missing()) : term;
+    }
+
+    private Term fit(Row row, Config c) {
+        String id = c.getString("fit");
+        double at = size(c, "at");
+        String text = "fit `" + id + "` at " + Numbers.text(at);
+        Results.Fit fit = results.fit(id);
+        if (fit == null && row.missing().isEmpty()) {
+            throw new IllegalArgumentException("no fit " + id + " in the results; there are " + list(results.fits().keySet()));
+        } else if (fit == null) {
+            return Term.missing(text, "wants " + id);
+        }
+        if (Double.isNaN(fit.error())) {
+            throw new IllegalArgumentException("fit " + id + " foretold no size that was run: it has no error, and is no slope");
+        }
+        fits.add(id);
+        return new Term(fit.at(at), Kind.EXTRAPOLATED, fit.error(), text, "");
+    }
+
+    /** The median of the runs at this size, each of them named. */
+    private Term point(Row row, Config c) {
+        String id = c.getString("point");
+        double at = size(c, "at");
+        String text = "point `" + id + "` at " + Numbers.text(at);
+        List<Results.Point> there = results.at(id, at);
+        double[] values = there.stream().mapToDouble(Results.Point::value).filter(v -> !Double.isNaN(v)).sorted().toArray();
+        if (values.length == 0 && row.missing().isEmpty()) {
+            throw new IllegalArgumentException("no point " + id + " at " + Numbers.text(at) + " in the results" + there.stream()
+                    .map(p -> ": refused there, " + p.note()).findFirst().orElse("; there are " + list(results.measured())));
+        } else if (values.length == 0) {
+            return Term.missing(text, "wants " + id + " at " + Numbers.text(at));
+        }
+        if (sizes.values().stream().noneMatch(s -> s.value() == at)) {
+            throw new IllegalArgumentException("is measured at " + Numbers.text(at) + ", which is no size of the target: name a fit");
+        }
+        double median = (values[(values.length - 1) / 2] + values[values.length / 2]) / 2;
+        return Term.of(median, Kind.MEASURED, text + ", run " + String.join(", ", there.stream().map(Results.Point::run).distinct().toList()));
+    }
+
+    private static String list(Set<String> names) {
+        return names.isEmpty() ? "none" : String.join(", ", names);
+    }
+
+    private Term other(String id) {
+        Row.Worked other = rows.get(id);
+        if (other == null) {
+            throw new IllegalArgumentException("no row " + id + " above this one");
+        }
+        return other.known() ? new Term(other.value(), other.row().kind(), other.error(), "row `" + id + "`", "")
+                : Term.missing("row `" + id + "`", "wants the row " + id);
+    }
+
+    private Term sharing(Config c, String key) throws IOException {
+        double quota = size(c, key);
+        double places = size(c, "places");
+        double times = c.getDouble("times");
+        Sharing.Verdict verdict = new Sharing(constant(all.getConfig("window")), constant(all.getConfig("spread"))).judge(quota, times, places);
+        return Term.of(key.equals("beyond") ? verdict.over() : verdict.worth(), Kind.COMPUTED, "tenant with a quota of `" + c.getString(key)
+                + "` a second, asking " + Numbers.text(times) + " times as much, places that count: " + Numbers.text(places) + ", simulated");
+    }
+
+    private static double tuning(String name) {
+        RecordComponent component = Arrays.stream(Tuning.class.getRecordComponents()).filter(r -> r.getName().equals(name)).findFirst()
+                .orElseThrow(() -> new IllegalArgumentException("no " + name + " in Tuning"));
+        try {
+            return ((Number) component.getAccessor().invoke(Tuning.DEFAULT)).doubleValue();
+        } catch (ReflectiveOperationException e) {
+            // Can't happen: a record's accessors are public.
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** A constant of the code, read from its source: the page is out of step as soon as it changes there. */
+    private double constant(Config c) throws IOException {
+        Path source = folder.resolve(all.getString("sources")).resolve(c.getString("code") + ".java");
+        Matcher found = Pattern.compile("\\b" + Pattern.quote(c.getString("name")) + " = ([-0-9_.* ()/+]+);").matcher(Files.readString(source));
+        if (!found.find()) {
+            throw new IllegalArgumentException("no constant " + c.getString("name") + " in " + source.getFileName());
+        }
+        return Formula.value(found.group(1), name -> size(name).value());
+    }
+
+    // --- what the page reads ---
+
+    List<Size> sizes() {
+        return List.copyOf(sizes.values());
+    }
+
+    /** All rows, in the order of the file. */
+    List<Row.Worked> rows() {
+        return List.copyOf(rows.values());
+    }
+
+    /** A row by its id, or null. */
+    Row.Worked row(String id) {
+        return rows.get(id);
+    }
+
+    /** The fits that rows rest on. */
+    List<Results.Fit> fits() {
+        return fits.stream().map(results::fit).toList();
+    }
+
+    List<Results.Off> offs() {
+        return results.offs();
+    }
+
+    /** A forecast that was off by more than this is no slope. */
+    double mostError() {
+        return all.getDouble("most-error");
+    }
+}
--- a/src/test/java/tinroad/cli/MainTest.java
+++ b/src/test/java/tinroad/cli/MainTest.java
@@ -70,6 +70,24 @@
         assertEquals(0, run("", "check", "--config", "deploy/example.json", "--operator", "deploy/operator.conf"));
     }
 
+    @Test
+    void aCapacityPageIsWrittenOrCheckedAndItsFaultsAreToldALineEach(@TempDir Path dir) throws IOException {
+        failsInOneLine(2, "lab capacity needs a PAGE", "lab", "capacity");
+        String conf = "target = [ { name = gateways, size = 1300, text = gateways } ]\n"
+                + "rows = [ { id = a, table = t, what = a, unit = \"\", figure = \"2 * gateways\", kind = computed } ]\n";
+        Files.writeString(dir.resolve("capacity.conf"), conf);
+        String bare = "<!-- table t -->\n<!-- end -->\n".concat(List.of("target", "order", "ratios", "missing", "slopes", "hollow-real").stream()
+                .map(name -> "<!-- table " + name + " -->\n<!-- end -->\n").reduce("", String::concat));
+        Path page = Files.writeString(dir.resolve("PAGE.md"), bare);
+        failsInOneLine(1, page + ":2: out of step with the results", "lab", "capacity", "--check", page.toString());
+        assertEquals(bare, Files.readString(page));
+        assertEquals(0, run("", "lab", "capacity", page.toString()));
+        assertTrue(Files.readString(page).contains("| a | 2,600 | *computed* |"));
+        assertEquals(0, run("", "lab", "capacity", "--check", page.toString()));
+        Files.writeString(dir.resolve("capacity.conf"), conf.replace("2 * gateways", "2 * engines"));
+        failsInOneLine(2, dir.resolve("capacity.conf") + ":2: figure: names engines", "lab", "capacity", page.toString());
+    }
+
     @Test
     void helpTellsOfEveryCommandOnStandardOutput() {
         assertEquals(0, run("", "--help"));
