--- a/src/main/java/tinroad/lab/capacity/Figures.java
+++ b/src/main/java/tinroad/lab/capacity/Figures.java
@@ -257,7 +257,7 @@
         return new Term(fit.at(at), Kind.EXTRAPOLATED, fit.error(), text, "");
     }
 
-    /** The median of the runs at this size, each of them named. */
+    /** The median of the runs at this size, each of them named, with what they noted. */
     private Term point(Row row, Config c) {
         String id = c.getString("point");
         double at = size(c, "at");
@@ -274,7 +274,9 @@
             throw new IllegalArgumentException("is measured at " + Numbers.text(at) + ", which is no size of the target: name a fit");
         }
         double median = (values[(values.length - 1) / 2] + values[values.length / 2]) / 2;
-        return Term.of(median, Kind.MEASURED, text + ", run " + String.join(", ", there.stream().map(Results.Point::run).distinct().toList()));
+        String noted = joined(there.stream().map(Results.Point::note).toList());
+        return Term.of(median, Kind.MEASURED, text + ", run " + String.join(", ", there.stream().map(Results.Point::run).distinct().toList())
+                + (noted.isEmpty() ? "" : " (" + noted + ")"));
     }
 
     private static String list(Set<String> names) {
--- a/src/main/java/tinroad/lab/capacity/Results.java
+++ b/src/main/java/tinroad/lab/capacity/Results.java
@@ -38,8 +38,13 @@
         }
     }
 
-    /** How far a hollow gateway is off from a real one in the same fleet; {@code off} is relative. */
-    record Off(String run, String metric, double hollow, double real, double off) { }
+    /** How far a hollow gateway is off from a real one in the same fleet; {@code off} is relative, the sweep and its size may not be told. */
+    record Off(String run, String metric, double hollow, double real, double off, String sweep, double x) {
+        /** At which size, in words. */
+        String where() {
+            return Double.isNaN(x) ? "" : " (" + sweep + " " + Numbers.text(x) + ")";
+        }
+    }
 
     private static final Set<String> FORMS = Set.of("flat", "log", "linear", "worse");
     private static final ObjectMapper JSON = new ObjectMapper();
@@ -60,7 +65,7 @@
         }
         for (Path file : offFiles) {
             read(file, (line, n) -> offs.add(new Off(line.path("run").asText(), line.path("metric").asText(), number(line, "hollow"),
-                    number(line, "real"), number(line, "off"))));
+                    number(line, "real"), number(line, "off"), line.path("sweep").asText(), number(line, "x"))));
         }
     }
 
--- a/src/main/java/tinroad/lab/capacity/Tables.java
+++ b/src/main/java/tinroad/lab/capacity/Tables.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.function.Function;
 import java.util.stream.Collectors;
 
@@ -40,8 +41,7 @@
             case "missing" -> rows(List.of("role", "figure", "budget", "why"), figures.rows().stream().filter(r -> !r.known()).toList(),
                     r -> List.of(r.row().table(), what(r), budget(r), r.missing()));
             case "slopes" -> slopes();
-            case "hollow-real" -> rows(List.of("figure", "hollow", "real", "off by", "run"), figures.offs(), o -> List.of("`" + o.metric() + "`",
-                    Numbers.text(o.hollow()), Numbers.text(o.real()), Numbers.percent(o.off()), o.run()));
+            case "hollow-real" -> hollowReal();
             default -> rows(List.of("what", "figure", "kind", "budget", "ratio", "carried by", "from"),
                     figures.rows().stream().filter(r -> r.row().table().equals(name)).toList(),
                     r -> List.of(r.row().what(), figure(r), kind(r), budget(r), ratio(r), carrier(r), from(r)));
@@ -103,6 +103,19 @@
                         Numbers.percent(f.error()) + (f.error() > figures.mostError() ? ", no slope" : ""), String.join(", ", f.runs())));
     }
 
+    /** Of each figure how far hollow ones are off over all sizes that both were run at. */
+    private List<String> hollowReal() {
+        Map<String, List<Results.Off>> byFigure = new TreeMap<>();
+        figures.offs().stream().filter(o -> Double.isFinite(o.off())).forEach(o -> byFigure.computeIfAbsent(o.metric(), m -> new ArrayList<>()).add(o));
+        return rows(List.of("figure", "compared", "off by, median", "off by, most", "there hollow", "there real", "runs"), List.copyOf(byFigure.entrySet()), e -> {
+            List<Results.Off> all = e.getValue().stream().sorted(Comparator.comparingDouble(o -> Math.abs(o.off()))).toList();
+            Results.Off worst = all.get(all.size() - 1);
+            double median = (Math.abs(all.get((all.size() - 1) / 2).off()) + Math.abs(all.get(all.size() / 2).off())) / 2;
+            return List.of("`" + e.getKey() + "`", Numbers.text(all.size()), Numbers.percent(median), Numbers.percent(worst.off()) + worst.where(),
+                    Numbers.text(worst.hollow()), Numbers.text(worst.real()), all.stream().map(Results.Off::run).distinct().sorted().collect(Collectors.joining(", ")));
+        });
+    }
+
     private static String what(Row.Worked r) {
         return r.row().what();
     }
--- a/src/test/java/tinroad/lab/capacity/CapacityPageTest.java
+++ b/src/test/java/tinroad/lab/capacity/CapacityPageTest.java
@@ -24,7 +24,7 @@
     private static final List<String> POINTS = List.of(
             "{'run':'g-1','sweep':'gateways','x':25,'role':'hollow','metric':'cpu_part','unit':'part of a core','value':0.01,'n':3}",
             "{'run':'g-2','sweep':'gateways','x':1300,'role':'hollow','metric':'descriptors','unit':'','value':20,'n':3}",
-            "{'run':'g-3','sweep':'gateways','x':1300,'role':'hollow','metric':'descriptors','unit':'','value':24,'n':3}",
+            "{'run':'g-3','sweep':'gateways','x':1300,'role':'hollow','metric':'descriptors','unit':'','value':24,'n':3,'note':'full'}",
             "{'run':'g-2','sweep':'gateways','x':1300,'role':'real','metric':'cpu_part','unit':'part of a core','value':null,'note':'no room'}");
     private static final List<String> FITS = List.of(
             "{'id':'gateways/hollow/cpu_part','sweep':'gateways','unit':'part of a core','form':'linear','a':0.01,'b':0.00001,'low':0.000009,"
@@ -131,7 +131,7 @@
         CapacityPage.write(page);
         String all = Files.readString(page);
         assertTrue(all.contains("| processor time | 2.3 % | *extrapolated* (3.45%) | 2.4 % | 0.958 | SWIM | `100 * m`; m: fit `gateways/hollow/cpu_part` at 1,300 |"), all);
-        assertTrue(all.contains("| descriptors | 22 | *measured* | - | - | - | m: point `gateways/hollow/descriptors` at 1,300, run g-2, g-3 |"), all);
+        assertTrue(all.contains("| descriptors | 22 | *measured* | - | - | - | m: point `gateways/hollow/descriptors` at 1,300, run g-2, g-3 (full) |"), all);
         assertTrue(all.contains("| of a real one | not measured | missing | 1 % | - |"), all);
         assertTrue(all.contains("| gateway | of a real one | 1 % | no room |"), all);
         assertTrue(all.contains("| `gateways/hollow/cpu_part` | linear | 0.00001 (0.000009 to 0.000011) | 800 |"), all);
@@ -244,6 +244,17 @@
         assertTrue(all.contains("| twice | 4 | *assumed*: nobody said; `2 * guess` |"), all);
     }
 
+    @Test
+    void howFarHollowOnesAreOffIsToldByFigure() throws Exception {
+        Files.writeString(dir.resolve("h.jsonl"), String.join("\n",
+                "{'run':'g-1','sweep':'gateways','x':25,'metric':'cpu_part','hollow':0.9,'real':1,'off':-0.1}",
+                "{'run':'g-2','sweep':'gateways','x':50,'metric':'cpu_part','hollow':1.3,'real':1,'off':0.3}",
+                "{'run':'g-2','metric':'stall_ms','hollow':1,'real':null,'off':null}").replace('\'', '"'));
+        CapacityPage.write(page);
+        String all = Files.readString(page);
+        assertTrue(all.contains("| `cpu_part` | 2 | 20% | 30% (gateways 50) | 1.3 | 1 | g-1, g-2 |\n<!-- end -->"), all);
+    }
+
     @Test
     void aForecastThatFailedIsTold() throws Exception {
         rows(CPU.replace("hollow/cpu_part", "hollow/bytes"));
