--- a/src/main/java/tinroad/lab/capacity/Figures.java
+++ b/src/main/java/tinroad/lab/capacity/Figures.java
@@ -270,8 +270,11 @@
         } else if (values.length == 0) {
             return Term.missing(text, "wants " + id + " at " + Numbers.text(at));
         }
-        if (sizes.values().stream().noneMatch(s -> s.value() == at)) {
-            throw new IllegalArgumentException("is measured at " + Numbers.text(at) + ", which is no size of the target: name a fit");
+        String sweep = id.replaceAll("/.*", "");
+        String whole = all.hasPath("sweeps." + sweep) ? all.getString("sweeps." + sweep) : "";
+        if (!c.getString("at").equals(whole)) {
+            throw new IllegalArgumentException("is measured at " + Numbers.text(at) + ", which is not "
+                    + (whole.isEmpty() ? "a size of the target that 'sweeps' names" : whole + ", the target's size of this sweep") + ": name a fit");
         }
         double median = (values[(values.length - 1) / 2] + values[values.length / 2]) / 2;
         String noted = joined(there.stream().map(Results.Point::note).toList());
--- a/src/main/java/tinroad/lab/capacity/Tables.java
+++ b/src/main/java/tinroad/lab/capacity/Tables.java
@@ -145,10 +145,12 @@
     }
 
     private static String from(Row.Worked r) {
-        String formula = r.row().figure().matches("[a-z]+") && r.terms().size() == 1 ? "" : "`" + r.row().figure() + "`";
         List<String> parts = new ArrayList<>();
-        if (!formula.isEmpty()) {
-            parts.add(formula);
+        if (!r.row().terms().containsKey(r.row().figure())) {
+            parts.add("`" + r.row().figure() + "`");
+        }
+        if (r.row().budget().matches(".*[-+*/].*")) {
+            parts.add("budget `" + r.row().budget() + "`");
         }
         parts.addAll(r.terms());
         return (r.known() ? "" : r.missing() + ": ") + String.join("; ", parts);
--- a/src/test/java/tinroad/lab/capacity/CapacityPageTest.java
+++ b/src/test/java/tinroad/lab/capacity/CapacityPageTest.java
@@ -31,7 +31,7 @@
                     + "'high':0.000011,'exponent':null,'largest':800,'foretold':0.018,'measured':0.0174,'error':0.0345,'runs':['g-1','g-2']}",
             "{'id':'gateways/hollow/bytes','form':'log','a':1,'b':2,'largest':800,'foretold':1,'measured':2,'error':0.5,'runs':['g-1']}",
             "{'id':'gateways/hollow/untried','form':'flat','a':1,'runs':['g-1']}");
-    private static final String TARGET = "points = [p.jsonl], fits = [f.jsonl], hollow-real = [h.jsonl]\n"
+    private static final String TARGET = "points = [p.jsonl], fits = [f.jsonl], hollow-real = [h.jsonl], sweeps { gateways = gateways }\n"
             + "target = [ { name = gateways, size = 1300, text = gateways }, { name = cores, size = 2.4, text = \"percent of a core\" }\n"
             + "  { name = guess, size = 2, text = guess, assumed = \"nobody said\" }, { name = twice, size = \"2 * guess\", text = twice }\n"
             + "  { name = peers, size = \"gateways - 1\", text = \"other gateways\" } ]\n";
@@ -195,7 +195,8 @@
                 Map.entry(CPU.replace("100 * m", "m / 0"), "comes to no number"),
                 Map.entry(CPU.replace(", at = gateways", ""), "at is missing"),
                 Map.entry(FILES.replace("at = gateways", "at = 25"), "no point gateways/hollow/descriptors at 25"),
-                Map.entry(FILES.replace("hollow/descriptors", "hollow/cpu_part").replace("at = gateways", "at = 25"), "is no size of the target: name a fit"),
+                Map.entry(FILES.replace("hollow/descriptors", "hollow/cpu_part").replace("at = gateways", "at = 25"), "which is not gateways, the target's size of this sweep"),
+                Map.entry(FILES.replace("at = gateways", "at = 1300"), "which is not gateways, the target's size of this sweep"),
                 Map.entry(FILES.replace("hollow/descriptors", "real/cpu_part"), "refused there, no room"),
                 Map.entry(FILES.replace("point = gateways/hollow/descriptors, at = gateways", "assumed = 3"), "source is missing"),
                 Map.entry(FILES.replace("point = gateways/hollow/descriptors, at = gateways", "row = none"), "no row none above this one"),
