--- a/src/main/java/tinroad/lab/capacity/Sharing.java
+++ b/src/main/java/tinroad/lab/capacity/Sharing.java
@@ -35,11 +35,16 @@
         return rate / places * window / 1000;
     }
 
+    /** Requests within the window that are allowed at one of so many places, those that chance may add included. */
+    double allowed(double quota, double places) {
+        double expected = expected(quota, places);
+        return expected + spread * Math.sqrt(expected);
+    }
+
     /** The verdict on one that has this quota a second over all places, and asks {@code times} as much. */
     Verdict judge(double quota, double times, double places) {
-        double expected = expected(quota, places);
-        double fair = expected + spread * Math.sqrt(expected);
-        double come = times * expected;
+        double fair = allowed(quota, places);
+        double come = times * expected(quota, places);
         UniformRandomProvider random = Draw.stream(1, "sharing");
         double counted = come;
         double over = 0;
