--- a/src/main/java/tinroad/cli/Usage.java
+++ b/src/main/java/tinroad/cli/Usage.java
@@ -81,7 +81,7 @@
         return switch (name) {
             case "help" -> names + " " + own;
             case "state" -> "show verify " + own;
-            case "lab" -> "run compare scale list " + own;
+            case "lab" -> "run compare scale capacity list " + own;
             case "completion" -> "bash zsh " + own;
             default -> own;
         };
--- a/src/main/java/tinroad/lab/capacity/Figures.java
+++ b/src/main/java/tinroad/lab/capacity/Figures.java
@@ -19,6 +19,7 @@
 import java.util.TreeSet;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import java.util.stream.Collectors;
 import tinroad.fleet.Tuning;
 import tinroad.operator.CheckedFile;
 import tinroad.operator.Fault;
@@ -39,13 +40,13 @@
     record Size(String name, double value, String formula, String text, String source, String assumed) { }
 
     /** What a term came to. */
-    private record Term(double value, Kind kind, double error, String text, String missing) {
+    private record Term(double value, Kind kind, double error, String text, String missing, boolean noted) {
         static Term of(double value, Kind kind, String text) {
-            return new Term(value, kind, Double.NaN, text, "");
+            return new Term(value, kind, Double.NaN, text, "", false);
         }
 
         static Term missing(String text, String why) {
-            return new Term(Double.NaN, Kind.COMPUTED, Double.NaN, text, why);
+            return new Term(Double.NaN, Kind.COMPUTED, Double.NaN, text, why, false);
         }
     }
 
@@ -157,7 +158,8 @@
             terms.keySet().stream().filter(name -> !used.contains(name)).forEach(name -> wrong(at, "figure", "does not use its term " + name));
         }
         List<String> texts = terms.entrySet().stream().map(e -> e.getKey() + ": " + e.getValue().text()).toList();
-        rows.put(row.id(), new Row.Worked(row, value, error, row.missing().isEmpty() ? missing : row.missing(), texts, budget, guessed));
+        rows.put(row.id(), new Row.Worked(row, value, error, row.missing().isEmpty() ? missing : row.missing(), texts, budget, guessed,
+                terms.values().stream().anyMatch(Term::noted)));
     }
 
     private boolean guessed(String name) {
@@ -237,7 +239,7 @@
             });
         }
         boolean assumed = names.stream().anyMatch(this::guessed);
-        return assumed ? new Term(term.value(), Kind.ASSUMED, term.error(), term.text(), term.missing()) : term;
+        return assumed ? new Term(term.value(), Kind.ASSUMED, term.error(), term.text(), term.missing(), term.noted()) : term;
     }
 
     private Term fit(Row row, Config c) {
@@ -246,7 +248,7 @@
         String text = "fit `" + id + "` at " + Numbers.text(at);
         Results.Fit fit = results.fit(id);
         if (fit == null && row.missing().isEmpty()) {
-            throw new IllegalArgumentException("no fit " + id + " in the results; there are " + list(results.fits().keySet()));
+            throw new IllegalArgumentException("no fit " + id + " in the results; there are " + list(id, results.fits().keySet()));
         } else if (fit == null) {
             return Term.missing(text, "wants " + id);
         }
@@ -254,7 +256,7 @@
             throw new IllegalArgumentException("fit " + id + " foretold no size that was run: it has no error, and is no slope");
         }
         fits.add(id);
-        return new Term(fit.at(at), Kind.EXTRAPOLATED, fit.error(), text, "");
+        return new Term(fit.at(at), Kind.EXTRAPOLATED, fit.error(), text + ", run up to " + Numbers.text(fit.largest()), "", false);
     }
 
     /** The median of the runs at this size, each of them named, with what they noted. */
@@ -266,7 +268,7 @@
         double[] values = there.stream().mapToDouble(Results.Point::value).filter(v -> !Double.isNaN(v)).sorted().toArray();
         if (values.length == 0 && row.missing().isEmpty()) {
             throw new IllegalArgumentException("no point " + id + " at " + Numbers.text(at) + " in the results" + there.stream()
-                    .map(p -> ": refused there, " + p.note()).findFirst().orElse("; there are " + list(results.measured())));
+                    .map(p -> ": refused there, " + p.note()).findFirst().orElse("; there are " + list(id, results.measured())));
         } else if (values.length == 0) {
             return Term.missing(text, "wants " + id + " at " + Numbers.text(at));
         }
@@ -278,12 +280,15 @@
         }
         double median = (values[(values.length - 1) / 2] + values[values.length / 2]) / 2;
         String noted = joined(there.stream().map(Results.Point::note).toList());
-        return Term.of(median, Kind.MEASURED, text + ", run " + String.join(", ", there.stream().map(Results.Point::run).distinct().toList())
-                + (noted.isEmpty() ? "" : " (" + noted + ")"));
+        String runs = there.stream().map(Results.Point::run).distinct().collect(Collectors.joining(", "));
+        return new Term(median, Kind.MEASURED, Double.NaN, text + ", run " + runs + (noted.isEmpty() ? "" : " (" + noted + ")"), "", !noted.isEmpty());
     }
 
-    private static String list(Set<String> names) {
-        return names.isEmpty() ? "none" : String.join(", ", names);
+    /** What there is of the same sweep. */
+    private static String list(String id, Set<String> names) {
+        String sweep = id.replaceAll("/.*", "/");
+        String same = names.stream().filter(n -> n.startsWith(sweep)).collect(Collectors.joining(", "));
+        return same.isEmpty() ? "none of " + sweep.replace("/", "") : same;
     }
 
     private Term other(String id) {
@@ -291,7 +296,7 @@
         if (other == null) {
             throw new IllegalArgumentException("no row " + id + " above this one");
         }
-        return other.known() ? new Term(other.value(), other.row().kind(), other.error(), "row `" + id + "`", "")
+        return other.known() ? new Term(other.value(), other.row().kind(), other.error(), "row `" + id + "`", "", other.noted())
                 : Term.missing("row `" + id + "`", "wants the row " + id);
     }
 
--- a/src/main/java/tinroad/lab/capacity/Results.java
+++ b/src/main/java/tinroad/lab/capacity/Results.java
@@ -42,7 +42,7 @@
     record Off(String run, String metric, double hollow, double real, double off, String sweep, double x) {
         /** At which size, in words. */
         String where() {
-            return Double.isNaN(x) ? "" : " (" + sweep + " " + Numbers.text(x) + ")";
+            return Double.isNaN(x) ? "" : " (at " + Numbers.text(x) + ")";
         }
     }
 
--- a/src/main/java/tinroad/lab/capacity/Row.java
+++ b/src/main/java/tinroad/lab/capacity/Row.java
@@ -29,8 +29,10 @@
      * @param terms what each term is, in words
      * @param budget NaN for none
      * @param guessed whether nobody gave this budget
+     * @param noted whether a run that it rests on noted something beside its point
      */
-    record Worked(Row row, double value, double error, String missing, List<String> terms, double budget, boolean guessed) {
+    record Worked(Row row, double value, double error, String missing, List<String> terms, double budget, boolean guessed,
+            boolean noted) {
         /** Whether there is a figure. */
         boolean known() {
             return !Double.isNaN(value);
--- a/src/main/java/tinroad/lab/capacity/Tables.java
+++ b/src/main/java/tinroad/lab/capacity/Tables.java
@@ -106,12 +106,13 @@
     /** Of each figure how far hollow ones are off over all sizes that both were run at. */
     private List<String> hollowReal() {
         Map<String, List<Results.Off>> byFigure = new TreeMap<>();
-        figures.offs().stream().filter(o -> Double.isFinite(o.off())).forEach(o -> byFigure.computeIfAbsent(o.metric(), m -> new ArrayList<>()).add(o));
-        return rows(List.of("figure", "compared", "off by, median", "off by, most", "there hollow", "there real", "runs"), List.copyOf(byFigure.entrySet()), e -> {
+        figures.offs().stream().filter(o -> Double.isFinite(o.off()))
+                .forEach(o -> byFigure.computeIfAbsent(o.sweep() + " `" + o.metric() + "`", m -> new ArrayList<>()).add(o));
+        return rows(List.of("sweep, figure", "sizes", "off by, median", "off by, most", "there hollow", "there real", "runs"), List.copyOf(byFigure.entrySet()), e -> {
             List<Results.Off> all = e.getValue().stream().sorted(Comparator.comparingDouble(o -> Math.abs(o.off()))).toList();
             Results.Off worst = all.get(all.size() - 1);
             double median = (Math.abs(all.get((all.size() - 1) / 2).off()) + Math.abs(all.get(all.size() / 2).off())) / 2;
-            return List.of("`" + e.getKey() + "`", Numbers.text(all.size()), Numbers.percent(median), Numbers.percent(worst.off()) + worst.where(),
+            return List.of(e.getKey(), Numbers.text(all.size()), Numbers.percent(median), Numbers.percent(worst.off()) + worst.where(),
                     Numbers.text(worst.hollow()), Numbers.text(worst.real()), all.stream().map(Results.Off::run).distinct().sorted().collect(Collectors.joining(", ")));
         });
     }
@@ -129,7 +130,7 @@
             return "missing";
         }
         String error = Double.isNaN(r.error()) ? "" : " (" + Numbers.percent(r.error()) + (r.error() > figures.mostError() ? ": forecast failed" : "") + ")";
-        return "*" + r.row().kind().text() + "*" + error;
+        return "*" + r.row().kind().text() + "*" + error + (r.noted() ? ", noted" : "");
     }
 
     private static String budget(Row.Worked r) {
