--- a/src/main/java/tinroad/lab/capacity/Figures.java
+++ b/src/main/java/tinroad/lab/capacity/Figures.java
@@ -255,6 +255,12 @@
         if (Double.isNaN(fit.error())) {
             throw new IllegalArgumentException("fit " + id + " foretold no size that was run: it has no error, and is no slope");
         }
+        // Guards against a form that the sizes beyond the largest run no longer follow.
+        if (fit.at(at) < 0 && row.missing().isEmpty()) {
+            throw new IllegalArgumentException("fit " + id + " comes to less than nothing at " + Numbers.text(at) + ": it is no slope there");
+        } else if (fit.at(at) < 0) {
+            return Term.missing(text, "less than nothing by " + id);
+        }
         fits.add(id);
         return new Term(fit.at(at), Kind.EXTRAPOLATED, fit.error(), text + ", run up to " + Numbers.text(fit.largest()), "", false);
     }
--- a/src/main/java/tinroad/lab/capacity/Results.java
+++ b/src/main/java/tinroad/lab/capacity/Results.java
@@ -64,8 +64,7 @@
             read(file, this::fit);
         }
         for (Path file : offFiles) {
-            read(file, (line, n) -> offs.add(new Off(line.path("run").asText(), line.path("metric").asText(), number(line, "hollow"),
-                    number(line, "real"), number(line, "off"), line.path("sweep").asText(), number(line, "x"))));
+            read(file, this::off);
         }
     }
 
@@ -129,6 +128,15 @@
         }
     }
 
+    private void off(JsonNode line, int number) {
+        String run = line.path("run").asText();
+        if (!runs.contains(run)) {
+            throw new IllegalArgumentException("names the run " + run + ", of which there is no point");
+        }
+        offs.add(new Off(run, line.path("metric").asText(), number(line, "hollow"), number(line, "real"), number(line, "off"),
+                line.path("sweep").asText(), number(line, "x")));
+    }
+
     /** What is wrong in the files. */
     List<Fault> faults() {
         return faults;
--- a/src/main/java/tinroad/lab/capacity/Tables.java
+++ b/src/main/java/tinroad/lab/capacity/Tables.java
@@ -98,7 +98,7 @@
     private List<String> slopes() {
         return rows(List.of("fit", "form", "slope (interval of 95%)", "largest run", "foretold there", "measured there", "error", "runs"), figures.fits(),
                 f -> List.of("`" + f.id() + "`", f.form().equals("worse") ? "power " + Numbers.text(f.exponent()) : f.form(),
-                        f.form().equals("flat") ? NOTHING : Numbers.text(f.b()) + " (" + Numbers.text(f.low()) + " to " + Numbers.text(f.high()) + ")",
+                        (f.form().equals("flat") ? "none" : Numbers.text(f.b())) + " (" + Numbers.text(f.low()) + " to " + Numbers.text(f.high()) + ")",
                         Numbers.text(f.largest()), Numbers.text(f.foretold()) + " " + f.unit(), Numbers.text(f.measured()) + " " + f.unit(),
                         Numbers.percent(f.error()) + (f.error() > figures.mostError() ? ", no slope" : ""), String.join(", ", f.runs())));
     }
--- a/src/test/java/tinroad/lab/capacity/CapacityPageTest.java
+++ b/src/test/java/tinroad/lab/capacity/CapacityPageTest.java
@@ -32,6 +32,7 @@
             "{'id':'gateways/hollow/cpu_part','sweep':'gateways','unit':'part of a core','form':'linear','a':0.01,'b':0.00001,'low':0.000009,"
                     + "'high':0.000011,'exponent':null,'largest':800,'foretold':0.018,'measured':0.0174,'error':0.0345,'runs':['g-1','g-2']}",
             "{'id':'gateways/hollow/bytes','form':'log','a':1,'b':2,'largest':800,'foretold':1,'measured':2,'error':0.5,'runs':['g-1']}",
+            "{'id':'gateways/hollow/falling','form':'log','a':1,'b':-0.2,'largest':100,'foretold':0.08,'measured':0.08,'error':0.01,'runs':['g-1']}",
             "{'id':'gateways/hollow/untried','form':'flat','a':1,'runs':['g-1']}");
     private static final String TARGET = "points = [p.jsonl], fits = [f.jsonl], hollow-real = [h.jsonl], sweeps { gateways = gateways }\n"
             + "target = [ { name = gateways, size = 1300, text = gateways }, { name = cores, size = 2.4, text = \"percent of a core\" }\n"
@@ -156,7 +157,7 @@
     @Test
     void aStaleTableFails() throws Exception {
         CapacityPage.write(page);
-        lay(POINTS, List.of(FITS.get(0).replace("'a':0.01", "'a':0.02"), FITS.get(1), FITS.get(2)));
+        lay(POINTS, List.of(FITS.get(0).replace("'a':0.01", "'a':0.02"), FITS.get(1), FITS.get(2), FITS.get(3)));
         outOfStep("PAGE.md:16: out of step with the results: found | processor time | 2.3 %");
     }
 
@@ -199,6 +200,7 @@
         Map<String, String> wrong = Map.ofEntries(
                 Map.entry(CPU.replace("hollow/cpu_part", "hollow/cpu"), "no fit gateways/hollow/cpu in the results; there are gateways/hollow/bytes"),
                 Map.entry(CPU.replace("hollow/cpu_part", "hollow/untried"), "foretold no size that was run"),
+                Map.entry(CPU.replace("hollow/cpu_part", "hollow/falling"), "comes to less than nothing at 1,300: it is no slope there"),
                 Map.entry(CPU.replace("kind = extrapolated", "kind = measured"), "kind: must be extrapolated, by what it names; found measured"),
                 Map.entry(CPU.replace("kind = extrapolated", "kind = guessed"), "kind: must be one of measured, extrapolated"),
                 Map.entry(CPU.replace("100 * m", "100 * m * x"), "names x, which is no size of the target"),
@@ -233,6 +235,9 @@
         fails("f.jsonl:2: fit gateways/hollow/cpu_part stands there twice");
         lay(List.of(POINTS.get(0), "{'run'"), FITS);
         fails("p.jsonl:2: not JSON");
+        lay(POINTS, FITS);
+        Files.writeString(dir.resolve("h.jsonl"), "{\"run\":\"g-9\",\"metric\":\"cpu_part\",\"hollow\":1,\"real\":1,\"off\":0}");
+        fails("h.jsonl:1: names the run g-9, of which there is no point");
         Files.delete(dir.resolve("p.jsonl"));
         fails("of which there is no point");
     }
