--- a/src/main/java/tinroad/lab/capacity/Figures.java
+++ b/src/main/java/tinroad/lab/capacity/Figures.java
@@ -125,7 +125,7 @@
         c.getObject("terms").entrySet().stream().sorted(Map.Entry.comparingByKey()).forEach(e -> named.put(e.getKey(), (ConfigObject) e.getValue()));
         Row row = new Row(at, c.getString("id"), c.getString("table"), c.getString("what"), c.getString("unit"), c.getString("figure"), named,
                 Kind.valueOf(c.getString("kind").toUpperCase(Locale.ROOT)), c.getString("budget"), c.getString("mechanism"),
-                c.getString("wants"), c.getString("missing"));
+                c.getString("wants"), c.getString("missing"), c.getStringList("rejects"));
         if (rows.containsKey(row.id()) || sizes.containsKey(row.id())) {
             wrong(at, "id", "must differ from the ids of the other rows and the names of sizes");
             return;
@@ -140,6 +140,9 @@
             wrong(at, "budget", "must have either a mechanism that carries it, or the one that it wants");
         }
         String missing = joined(terms.values().stream().map(Term::missing).toList());
+        if (!row.rejects().isEmpty() && row.missing().isEmpty()) {
+            wrong(at, "rejects", "must have missing beside it: why do these runs not count?");
+        }
         if (missing.isEmpty() && !row.missing().isEmpty()) {
             wrong(at, "missing", "stands as missing, but all that it names is there");
         }
@@ -247,6 +250,7 @@
         double at = size(c, "at");
         String text = "fit `" + id + "` at " + Numbers.text(at);
         Results.Fit fit = results.fit(id);
+        fit = fit != null && fit.runs().stream().anyMatch(row.rejects()::contains) ? null : fit;
         if (fit == null && row.missing().isEmpty()) {
             throw new IllegalArgumentException("no fit " + id + " in the results; there are " + list(id, results.fits().keySet()));
         } else if (fit == null) {
@@ -270,7 +274,7 @@
         String id = c.getString("point");
         double at = size(c, "at");
         String text = "point `" + id + "` at " + Numbers.text(at);
-        List<Results.Point> there = results.at(id, at);
+        List<Results.Point> there = results.at(id, at).stream().filter(p -> !row.rejects().contains(p.run())).toList();
         double[] values = there.stream().mapToDouble(Results.Point::value).filter(v -> !Double.isNaN(v)).sorted().toArray();
         if (values.length == 0 && row.missing().isEmpty()) {
             throw new IllegalArgumentException("no point " + id + " at " + Numbers.text(at) + " in the results" + there.stream()
--- a/src/main/java/tinroad/lab/capacity/Row.java
+++ b/src/main/java/tinroad/lab/capacity/Row.java
@@ -16,9 +16,11 @@
  * @param mechanism what carries it; empty for none yet
  * @param wants the mechanism that would carry it, where there is none yet
  * @param missing why nothing was run for it; empty where something was
+ * @param rejects runs that do not count for it; {@code missing} says why
  */
 record Row(ConfigObject at, String id, String table, String what, String unit, String figure, Map<String, ConfigObject> terms,
-        Kind kind, String budget, String mechanism, String wants, String missing) {
+        Kind kind, String budget, String mechanism, String wants, String missing,
+        List<String> rejects) {
 
     /**
      * The figure, worked out.
--- a/src/test/java/tinroad/lab/capacity/CapacityPageTest.java
+++ b/src/test/java/tinroad/lab/capacity/CapacityPageTest.java
@@ -249,6 +249,19 @@
         assertTrue(Files.readString(page).contains("| both | not measured | missing | - | - | - | wants the row real: `2 * r`; r: row `real` |"), Files.readString(page));
     }
 
+    /** A run that does not count is named with why, and only that run: another one makes the row a figure, which has to be told. */
+    @Test
+    void aRunThatDoesNotCountIsNoFigure() throws Exception {
+        String rejecting = FILES.replace(" } }", " } }, rejects = [g-2, g-3], missing = \"nobody was served\"");
+        rows(rejecting);
+        CapacityPage.write(page);
+        assertTrue(Files.readString(page).contains("| descriptors | not measured | missing | - | - | - | nobody was served: "), Files.readString(page));
+        rows(rejecting.replace("g-2, ", ""));
+        fails("stands as missing, but all that it names is there");
+        rows(rejecting.replace(", missing = \"nobody was served\"", ""));
+        fails("must have missing beside it");
+    }
+
     @Test
     void whatIsMissingIsOrderedByTheWorstFigureOfEach() throws Exception {
         String row = "{ id = a, table = gateway, what = a, unit = x, figure = gateways, kind = computed, budget = 100, wants = nets }";
