--- a/src/main/java/tinroad/lab/scale/Load.java
+++ b/src/main/java/tinroad/lab/scale/Load.java
@@ -43,7 +43,7 @@
     private final class Line extends SimpleChannelInboundHandler<ByteBuf> {
         private final Map<Integer, Open> open = new HashMap<>();
         private final Map<Integer, StringBuilder> partial = new HashMap<>();
-        private Channel channel;
+        private ChannelFuture connecting;
         private int numbers;
 
         @Override
@@ -97,22 +97,26 @@
     /** Opens so many connections; blocks until they are there. */
     void connect(int connections) throws IOException, InterruptedException {
         for (int i = 0; i < connections; i++) {
-            Line line = new Line();
-            ChannelFuture done = new Bootstrap().group(loop).channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true)
-                    .handler(new ChannelInitializer<SocketChannel>() {
-                        @Override
-                        protected void initChannel(SocketChannel ch) {
-                            ch.pipeline().addLast(new LengthFieldBasedFrameDecoder(LARGEST, 4, 2, 2, 0), line);
-                        }
-                    }).connect(to);
-            if (!done.await(CONNECT_S, TimeUnit.SECONDS) || !done.isSuccess()) {
-                throw new IOException("connection " + i + " to " + to + ": " + done.cause());
+            Line line = open();
+            if (!line.connecting.await(CONNECT_S, TimeUnit.SECONDS) || !line.connecting.isSuccess()) {
+                throw new IOException("connection " + i + " to " + to + ": " + line.connecting.cause());
             }
-            line.channel = done.channel();
             lines.add(line);
         }
     }
 
+    private Line open() {
+        Line line = new Line();
+        line.connecting = new Bootstrap().group(loop).channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true)
+                .handler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel ch) {
+                        ch.pipeline().addLast(new LengthFieldBasedFrameDecoder(LARGEST, 4, 2, 2, 0), line);
+                    }
+                }).connect(to);
+        return line;
+    }
+
     /** Sends the next request, which was planned for this moment; on the loop. */
     void ask(long plannedNanos) {
         asked++;
@@ -126,12 +130,12 @@
 
     private void send(String route, long plannedNanos, IntConsumer heard) {
         turn = (turn + 1) % lines.size();
+        // A gateway closes connections that rest, so that callers spread anew: whoever has a request opens another.
+        if (lines.get(turn).connecting.isDone() && !lines.get(turn).connecting.channel().isActive()) {
+            lines.set(turn, open());
+        }
         Line line = lines.get(turn);
         Open open = new Open(plannedNanos, heard);
-        if (!line.channel.isActive()) {
-            ended(open, 0);
-            return;
-        }
         line.numbers = line.numbers % NUMBERS + 1;
         line.open.put(line.numbers, open);
         Map<String, String> fields = new LinkedHashMap<>();
@@ -143,7 +147,15 @@
         fields.put("HTTP_REQ_OWNER", sizes.tenants() == 0 ? "" : SettingsFile.tenant(random.nextInt(sizes.tenants())));
         fields.put("HTTP_REQ_KB", "24.0");
         fields.put("HTTP_REQ_RANK", "0.5");
-        line.channel.writeAndFlush(Wire.request(line.channel.alloc(), line.numbers, fields, BODY));
+        Channel channel = line.connecting.channel();
+        int number = line.numbers;
+        line.connecting.addListener(connected -> {
+            if (connected.isSuccess()) {
+                channel.writeAndFlush(Wire.request(channel.alloc(), number, fields, BODY));
+            } else if (line.open.remove(number) != null) {
+                ended(open, 0);
+            }
+        });
     }
 
     private void ended(Open open, int status) {
@@ -191,6 +203,6 @@
     }
 
     void close() {
-        lines.forEach(line -> line.channel.close());
+        lines.forEach(line -> line.connecting.channel().close());
     }
 }
