--- a/src/main/java/tinroad/lab/scale/ScaleCharts.java
+++ b/src/main/java/tinroad/lab/scale/ScaleCharts.java
@@ -5,7 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
-import org.knowm.xchart.VectorGraphicsEncoder;
+import org.knowm.xchart.BitmapEncoder;
 import org.knowm.xchart.XYChart;
 import org.knowm.xchart.XYChartBuilder;
 import org.knowm.xchart.style.markers.SeriesMarkers;
@@ -28,8 +28,8 @@
             }
             if (!chart.getSeriesMap().isEmpty()) {
                 chart.getStyler().setYAxisMin(0.0);
-                VectorGraphicsEncoder.saveVectorGraphic(chart, folder.resolve("scale-" + sweep + "-" + metric.replace('_', '-')).toString(),
-                        VectorGraphicsEncoder.VectorGraphicsFormat.SVG);
+                BitmapEncoder.saveBitmap(chart, folder.resolve("scale-" + sweep + "-" + metric.replace('_', '-')).toString(),
+                        BitmapEncoder.BitmapFormat.PNG);
             }
         }
     }
--- a/src/test/java/tinroad/lab/scale/FitTest.java
+++ b/src/test/java/tinroad/lab/scale/FitTest.java
@@ -86,7 +86,7 @@
         assertEquals("gateways/hollow/cpu_part", fit.path("id").asText());
         assertEquals(2, fit.path("b").asDouble(), 1e-9);
         assertEquals(800, fit.path("largest").asDouble());
-        assertTrue(Files.exists(dir.resolve("scale-gateways-cpu-part.svg")));
+        assertTrue(Files.exists(dir.resolve("scale-gateways-cpu-part.png")));
     }
 
     private static Line line(String json) {
