--- a/src/main/java/tinroad/lab/capacity/Figures.java
+++ b/src/main/java/tinroad/lab/capacity/Figures.java
@@ -58,6 +58,8 @@
     private final Map<String, Size> sizes = new LinkedHashMap<>();
     private final Map<String, Row.Worked> rows = new LinkedHashMap<>();
     private final Set<String> fits = new TreeSet<>();
+    /** Runs that count for no row, and why. */
+    private final Map<String, String> rejected = new LinkedHashMap<>();
     private final List<Fault> faults = new ArrayList<>();
 
     private Figures(Config all, Path folder) throws IOException {
@@ -65,6 +67,10 @@
         this.folder = folder;
         results = new Results(files("points"), files("fits"), files("hollow-real"));
         faults.addAll(results.faults());
+        for (ConfigValue one : all.getList("rejected")) {
+            Config c = ((ConfigObject) one).toConfig();
+            rejected.put(c.getString("run"), c.getString("why"));
+        }
     }
 
     /** The figures of this file; throws with all that is wrong in it. */
@@ -125,7 +131,7 @@
         c.getObject("terms").entrySet().stream().sorted(Map.Entry.comparingByKey()).forEach(e -> named.put(e.getKey(), (ConfigObject) e.getValue()));
         Row row = new Row(at, c.getString("id"), c.getString("table"), c.getString("what"), c.getString("unit"), c.getString("figure"), named,
                 Kind.valueOf(c.getString("kind").toUpperCase(Locale.ROOT)), c.getString("budget"), c.getString("mechanism"),
-                c.getString("wants"), c.getString("missing"), c.getStringList("rejects"));
+                c.getString("wants"), c.getString("missing"));
         if (rows.containsKey(row.id()) || sizes.containsKey(row.id())) {
             wrong(at, "id", "must differ from the ids of the other rows and the names of sizes");
             return;
@@ -140,9 +146,6 @@
             wrong(at, "budget", "must have either a mechanism that carries it, or the one that it wants");
         }
         String missing = joined(terms.values().stream().map(Term::missing).toList());
-        if (!row.rejects().isEmpty() && row.missing().isEmpty()) {
-            wrong(at, "rejects", "must have missing beside it: why do these runs not count?");
-        }
         if (missing.isEmpty() && !row.missing().isEmpty()) {
             wrong(at, "missing", "stands as missing, but all that it names is there");
         }
@@ -250,7 +253,7 @@
         double at = size(c, "at");
         String text = "fit `" + id + "` at " + Numbers.text(at);
         Results.Fit fit = results.fit(id);
-        fit = fit != null && fit.runs().stream().anyMatch(row.rejects()::contains) ? null : fit;
+        fit = fit != null && fit.runs().stream().anyMatch(rejected::containsKey) ? null : fit;
         if (fit == null && row.missing().isEmpty()) {
             throw new IllegalArgumentException("no fit " + id + " in the results; there are " + list(id, results.fits().keySet()));
         } else if (fit == null) {
@@ -274,7 +277,7 @@
         String id = c.getString("point");
         double at = size(c, "at");
         String text = "point `" + id + "` at " + Numbers.text(at);
-        List<Results.Point> there = results.at(id, at).stream().filter(p -> !row.rejects().contains(p.run())).toList();
+        List<Results.Point> there = results.at(id, at).stream().filter(p -> !rejected.containsKey(p.run())).toList();
         double[] values = there.stream().mapToDouble(Results.Point::value).filter(v -> !Double.isNaN(v)).sorted().toArray();
         if (values.length == 0 && row.missing().isEmpty()) {
             throw new IllegalArgumentException("no point " + id + " at " + Numbers.text(at) + " in the results" + there.stream()
@@ -361,8 +364,14 @@
         return fits.stream().map(results::fit).toList();
     }
 
+    /** How far hollow ones are off, in runs that count. */
     List<Results.Off> offs() {
-        return results.offs();
+        return results.offs().stream().filter(o -> !rejected.containsKey(o.run())).toList();
+    }
+
+    /** Runs that count for no row, and why. */
+    Map<String, String> rejected() {
+        return rejected;
     }
 
     /** A forecast that was off by more than this is no slope. */
--- a/src/test/java/tinroad/lab/capacity/CapacityPageTest.java
+++ b/src/test/java/tinroad/lab/capacity/CapacityPageTest.java
@@ -44,7 +44,7 @@
             + " terms { m { point = gateways/hollow/descriptors, at = gateways } } }";
     private static final String MISSING = "{ id = real, table = gateway, what = \"of a real one\", unit = \"%\", figure = m, kind = measured, budget = 1, wants = nets,"
             + " missing = \"no room\", terms { m { point = gateways/real/cpu_part, at = gateways } } }";
-    private static final String PAGE = Stream.of("target", "gateway", "order", "ratios", "missing", "slopes", "hollow-real")
+    private static final String PAGE = Stream.of("target", "gateway", "order", "ratios", "missing", "rejected", "slopes", "hollow-real")
             .map(name -> "<!-- table " + name + " -->\n<!-- end -->\n").reduce("# Page\n\nTo all <!-- figure peers -->others<!-- end -->.\n", String::concat);
 
     @TempDir
@@ -252,14 +252,18 @@
     /** A run that does not count is named with why, and only that run: another one makes the row a figure, which has to be told. */
     @Test
     void aRunThatDoesNotCountIsNoFigure() throws Exception {
-        String rejecting = FILES.replace(" } }", " } }, rejects = [g-2, g-3], missing = \"nobody was served\"");
-        rows(rejecting);
+        String missing = FILES.replace(" } }", " } }, missing = \"nobody was served\"");
+        String conf = TARGET + "rejected = [ { run = g-2, why = trial }, { run = g-3, why = failed } ]\nrows = [\n" + missing + "\n]\n";
+        Files.writeString(dir.resolve("capacity.conf"), conf);
         CapacityPage.write(page);
-        assertTrue(Files.readString(page).contains("| descriptors | not measured | missing | - | - | - | nobody was served: "), Files.readString(page));
-        rows(rejecting.replace("g-2, ", ""));
+        String all = Files.readString(page);
+        assertTrue(all.contains("| descriptors | not measured | missing | - | - | - | nobody was served: ") && all.contains("| g-2 | trial |"), all);
+        Files.writeString(dir.resolve("capacity.conf"), conf.replace("{ run = g-2, why = trial }, ", ""));
         fails("stands as missing, but all that it names is there");
-        rows(rejecting.replace(", missing = \"nobody was served\"", ""));
-        fails("must have missing beside it");
+        Files.writeString(dir.resolve("capacity.conf"), conf.replace("why = trial", "where = here"));
+        fails("rejected.0.why: must have why");
+        Files.writeString(dir.resolve("capacity.conf"), conf.replace("rows = [\n" + missing, "rows = [\n" + CPU));
+        fails("no fit gateways/hollow/cpu_part in the results");
     }
 
     @Test
