--- a/src/main/java/tinroad/lab/capacity/Tables.java
+++ b/src/main/java/tinroad/lab/capacity/Tables.java
@@ -14,7 +14,7 @@
 /** The page's tables as text, from the figures. Same figures, same text. */
 final class Tables {
     /** Tables that are not the rows of one name. */
-    private static final List<String> SUMMARIES = List.of("target", "order", "ratios", "missing", "slopes", "hollow-real");
+    private static final List<String> SUMMARIES = List.of("target", "order", "ratios", "missing", "rejected", "slopes", "hollow-real");
     private static final String NONE_YET = "**none yet**";
     private static final String NOTHING = "-";
 
@@ -40,6 +40,7 @@
                     r -> List.of(ratio(r), r.row().table(), r.row().what(), figure(r), budget(r), kind(r), carrier(r)));
             case "missing" -> rows(List.of("role", "figure", "budget", "why"), figures.rows().stream().filter(r -> !r.known()).toList(),
                     r -> List.of(r.row().table(), what(r), budget(r), r.missing()));
+            case "rejected" -> rows(List.of("run", "why it counts for no row"), List.copyOf(figures.rejected().entrySet()), e -> List.of(e.getKey(), e.getValue()));
             case "slopes" -> slopes();
             case "hollow-real" -> hollowReal();
             default -> rows(List.of("what", "figure", "kind", "budget", "ratio", "carried by", "from"),
--- a/src/test/java/tinroad/cli/MainTest.java
+++ b/src/test/java/tinroad/cli/MainTest.java
@@ -76,7 +76,7 @@
         String conf = "target = [ { name = gateways, size = 1300, text = gateways } ]\n"
                 + "rows = [ { id = a, table = t, what = a, unit = \"\", figure = \"2 * gateways\", kind = computed } ]\n";
         Files.writeString(dir.resolve("capacity.conf"), conf);
-        String bare = "<!-- table t -->\n<!-- end -->\n".concat(List.of("target", "order", "ratios", "missing", "slopes", "hollow-real").stream()
+        String bare = "<!-- table t -->\n<!-- end -->\n".concat(List.of("target", "order", "ratios", "missing", "rejected", "slopes", "hollow-real").stream()
                 .map(name -> "<!-- table " + name + " -->\n<!-- end -->\n").reduce("", String::concat));
         Path page = Files.writeString(dir.resolve("PAGE.md"), bare);
         failsInOneLine(1, page + ":2: out of step with the results", "lab", "capacity", "--check", page.toString());
