Compare settings that were read again once, not again for the change log

Found on reading the change again: with a followed log each re-read worked out what differs, with its hash over all that is put, once for nobody and then again in the follower. Only a gateway that does not apply it tells how much differs, so just that number is handed on, and the server asks no second time whether it applies. Behaviour as it was.

--- a/src/main/java/tinroad/node/CatalogUpdates.java
+++ b/src/main/java/tinroad/node/CatalogUpdates.java
@@ -38,8 +38,13 @@
     private final LogFollower follower;
     private final ScheduledThreadPoolExecutor thread;
 
-    /** What a configuration that was read again says, how its classes and tenants differ, and whether that is to come in force. */
-    record Reread(GatewayConfig config, Change change, boolean taken) { }
+    /**
+     * What a configuration that was read again says.
+     *
+     * @param later classes and tenants that differ and count at the next start only
+     * @param taken whether classes and tenants of it are to come in force
+     */
+    record Reread(GatewayConfig config, int later, boolean taken) { }
 
     /** Updates of {@code gateway}, which still has its {@code first} catalog; those of a change log come by {@code follower}, or null. */
     CatalogUpdates(Gateway gateway, Catalog first, Executor loop, LogFollower follower) {
@@ -102,7 +107,7 @@
         return onThread(() -> {
             Whole whole = new Whole(editor.current());
             GatewayConfig config = source.read(whole);
-            return new Reread(config, change(whole), false);
+            return new Reread(config, change(whole).size(), false);
         });
     }
 
@@ -116,24 +121,26 @@
         return onThread(() -> {
             Whole whole = new Whole(editor.current());
             GatewayConfig config = source.read(whole);
-            Change change = change(whole);
-            Editor.Outcome.Taken taken = null;
+            Editor.Outcome.Taken taken;
             if (follower != null) {
                 LogFollower.Step step = follower.whole(editor, whole);
                 tell(asked ? step.line() : null);
                 taken = step.taken();
-            } else if (change.size() > 0) {
-                taken = offer(change);
+            } else {
+                taken = offer(change(whole));
             }
             if (taken != null) {
-                Editor.Outcome.Taken later = taken;
-                thread.execute(() -> bring(later));
+                thread.execute(() -> bring(taken));
             }
-            return new Reread(config, change, taken != null);
+            return new Reread(config, 0, taken != null);
         });
     }
 
+    /** Null where nothing differs. */
     private Editor.Outcome.Taken offer(Change change) throws ConfigException {
+        if (change.size() == 0) {
+            return null;
+        }
         Editor.Outcome outcome = editor.offerWhole(change);
         if (outcome instanceof Editor.Outcome.Taken taken) {
             return taken;
--- a/src/main/java/tinroad/node/Server.java
+++ b/src/main/java/tinroad/node/Server.java
@@ -245,8 +245,8 @@
     private void goOnWith(CatalogUpdates.Reread reread) {
         GatewayConfig next = reread.config();
         List<String> later = new ArrayList<>(Differences.between(config, next));
-        if (!catalogSettings.inPlace() && reread.change().size() > 0) {
-            later.add("settings.classes and settings.orgs: " + reread.change().size() + " differ");
+        if (reread.later() > 0) {
+            later.add("settings.classes and settings.orgs: " + reread.later() + " differ");
         }
         if (!later.isEmpty()) {
             LOG.info("counts at the next start: {}", String.join(", ", later));
