Count a replayed duplicate among no runs: it raised a server's concurrency for good

What callers saw: a server that had replayed duplicates ran more at once than it may: a cold one 7 requests where 2 are allowed after five duplicates, one more with each duplicate until the process ended.

Cause: OverloadController.remove knew queued, running and "else"; a duplicate that waits for another's result (JOINED) fell into the last one and lowered the count of paused runs, though it had never been counted there. Dispatcher starts runs while running + paused is below what the server survives.

Why it works: remove switches over all four states, and the joined one changes no count. The same fault elsewhere: none among the controller's counts.

--- a/src/main/java/tinroad/overload/CoreUsage.java
+++ b/src/main/java/tinroad/overload/CoreUsage.java
@@ -80,6 +80,10 @@
         return running;
     }
 
+    int paused() {
+        return paused;
+    }
+
     int runningOrPaused() {
         return running + paused;
     }
--- a/src/main/java/tinroad/overload/DependencyCalls.java
+++ b/src/main/java/tinroad/overload/DependencyCalls.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import tinroad.overload.Controller.Actions;
 import tinroad.overload.Controller.DependencyKind;
@@ -91,6 +92,16 @@
         }
     }
 
+    /** Calls that were made and have not ended. */
+    int inFlight() {
+        return inFlight;
+    }
+
+    /** Paused runs whose call is not made yet. */
+    List<ActiveRequest> waiting() {
+        return Collections.unmodifiableList(waiting);
+    }
+
     /** A paused run wants a call. */
     void enqueue(ActiveRequest request) {
         waiting.add(request);
--- a/src/main/java/tinroad/overload/ExpiringSet.java
+++ b/src/main/java/tinroad/overload/ExpiringSet.java
@@ -32,6 +32,11 @@
         return byExpiry.size();
     }
 
+    /** How many are neither removed nor expired. */
+    int activeSize() {
+        return entries.size();
+    }
+
     /** Returns whether it was there. */
     boolean remove(String name) {
         return entries.remove(name) != null;
--- a/src/main/java/tinroad/overload/MemoryBudget.java
+++ b/src/main/java/tinroad/overload/MemoryBudget.java
@@ -41,6 +41,15 @@
         return usedKb + keyKb <= capacityKb(MAX_USED_SHARE);
     }
 
+    double usedKb() {
+        return usedKb;
+    }
+
+    /** Keys that are retained and not expired yet. */
+    int retainedKeys() {
+        return retainedKeys.activeSize();
+    }
+
     boolean exceeded() {
         return usedKb > capacityKb(MAX_USED_SHARE);
     }
--- a/src/main/java/tinroad/overload/OverloadController.java
+++ b/src/main/java/tinroad/overload/OverloadController.java
@@ -2,6 +2,8 @@
 
 // The types, events and actions used here are in Controller.java, beside this file.
 
+import java.util.Collection;
+import java.util.Collections;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -127,6 +129,19 @@
                         draining);
     }
 
+    /** The active requests and what counts them: tests hold the counts to the requests. */
+    record Tables(
+            Collection<ActiveRequest> requests,
+            RequestQueue queue,
+            CoreUsage cores,
+            MemoryBudget memory,
+            DependencyCalls calls) {}
+
+    Tables tables() {
+        return new Tables(
+                Collections.unmodifiableCollection(requests.values()), queue, cores, memory, calls);
+    }
+
     @Override
     public Map<String, Estimate> learnedEstimates() {
         return learned.export(classes);
@@ -275,22 +290,25 @@
     private void remove(ActiveRequest request) {
         requests.remove(request.id);
         memory.requestEnded(request);
-        if (request.isQueued()) {
-            queue.remove(request);
-        } else if (request.isRunning()) {
-            cores.endRun();
-        } else {
-            calls.dequeue(request);
-            // Known fault: a joined duplicate ends here, too, though it was never counted as
-            // paused.
-            cores.endPause();
-            if (request.callInFlight) {
-                calls.ended(request, true);
+        switch (request.state) {
+            case QUEUED -> queue.remove(request);
+            case JOINED -> {
+                // Waits for the result of another run, and is counted among none.
             }
+            case RUNNING -> cores.endRun();
+            case CALLING -> endPause(request);
         }
         memory.releaseKey(request);
     }
 
+    private void endPause(ActiveRequest request) {
+        calls.dequeue(request);
+        cores.endPause();
+        if (request.callInFlight) {
+            calls.ended(request, true);
+        }
+    }
+
     // --- calls to the dependency ---
 
     @Override
