Hold the counts of gateway tables and membership to what they count, on random sequences

Change: TableInvariantsTest plays 3,000 random sequences on a whole gateway with the real controller (arrivals, duplicates, cancellations, ends told twice, commands that can't be written, links lost, engines restarted, class changes, draining): slot references, requests that await the link, bytes of retained results are what is there, and in the end nothing is left in the request table or the controller and each request has one answer. MemberCountsTest, 10,000 sequences: alive members and suspects are those that are. Package-private views for both; the controller tells how many requests are active.

A command that can't be written while catching up throws out of EngineRecovery.caughtUp; EngineConnection ends the link on it and the next one catches up again, so the test models just that.

--- a/src/main/java/tinroad/core/Gateway.java
+++ b/src/main/java/tinroad/core/Gateway.java
@@ -24,6 +24,7 @@
     private final Clock clock;
     private final GatewayMetrics metrics;
     private final RequestTable requests;
+    private final IdempotencyTable idempotency;
     private final ActiveCatalog activeCatalog;
     private final CatalogActivation catalogActivation;
     private final ControllerActions actions;
@@ -94,7 +95,7 @@
         Settings settings = site.settings();
         actions = new ControllerActions(log);
         driver = new ControllerDriver(controllerFactory.apply(actions), clock, timers, engine, log);
-        IdempotencyTable idempotency = new IdempotencyTable(settings.resultFreshMillis());
+        idempotency = new IdempotencyTable(settings.resultFreshMillis());
         metrics = new GatewayMetrics(site.classNames());
         requests = new RequestTable(clock);
         activeCatalog = new ActiveCatalog(site, catalog, clock.nowMillis());
@@ -362,6 +363,16 @@
         return requests.unanswered();
     }
 
+    /** The requests in flight, which tests hold the counts of the tables to. */
+    RequestTable requestTable() {
+        return requests;
+    }
+
+    /** The retained keys and results; for the same tests. */
+    IdempotencyTable idempotencyTable() {
+        return idempotency;
+    }
+
     /** Counts of answers and runs since the process started. */
     public GatewayMetrics metrics() {
         return metrics;
--- a/src/main/java/tinroad/core/IdempotencyTable.java
+++ b/src/main/java/tinroad/core/IdempotencyTable.java
@@ -272,6 +272,21 @@
         }
     }
 
+    /** Bytes of the results of keyed runs that are retained. */
+    int resultBytes() {
+        return resultBytes;
+    }
+
+    /** Keyed requests whose result is retained, oldest first; a copy. */
+    List<Entry> keyedResults() {
+        return List.copyOf(keyedResults);
+    }
+
+    /** Whether this is the entry of its idempotency key. */
+    boolean isCurrent(Entry entry) {
+        return keyedRequests.get(entry.idempotencyKey) == entry;
+    }
+
     void expire(double nowMillis) {
         reads.values().removeIf(entry -> entry.validUntilMillis < nowMillis);
         if (nowMillis >= nextSweepAtMillis) {
--- a/src/main/java/tinroad/core/RequestTable.java
+++ b/src/main/java/tinroad/core/RequestTable.java
@@ -97,9 +97,14 @@
         return awaitingLink.remove(request);
     }
 
+    /** The requests that wait for the link, oldest first; a copy. */
+    List<ActiveRequest> awaitingLink() {
+        return List.copyOf(awaitingLink);
+    }
+
     /** Takes all requests that wait for the link out of the queue, oldest first. */
     List<ActiveRequest> drainAwaitingLink() {
-        List<ActiveRequest> waiting = List.copyOf(awaitingLink);
+        List<ActiveRequest> waiting = awaitingLink();
         awaitingLink.clear();
         return waiting;
     }
@@ -135,6 +140,16 @@
 
     // --- slots ---
 
+    /** How many requests in flight refer to this slot of classes. */
+    int classSlotReferences(int slot) {
+        return classSlots.count(slot);
+    }
+
+    /** How many requests in flight refer to this slot of tenants. */
+    int tenantSlotReferences(int slot) {
+        return tenantSlots.count(slot);
+    }
+
     /** Sets who is notified of removed slots that no request in flight refers to any more. */
     void onSlotsFree(Consumer<int[]> classListener, Consumer<int[]> tenantListener) {
         classSlots.onFree(classListener);
--- a/src/main/java/tinroad/core/SlotReferences.java
+++ b/src/main/java/tinroad/core/SlotReferences.java
@@ -57,7 +57,8 @@
         }
     }
 
-    private int count(int slot) {
+    /** How many requests in flight refer to this slot. */
+    int count(int slot) {
         return slot < counts.length ? counts[slot] : 0;
     }
 
--- a/src/main/java/tinroad/fleet/Membership.java
+++ b/src/main/java/tinroad/fleet/Membership.java
@@ -270,6 +270,16 @@
         return names;
     }
 
+    /** How many other members are alive. */
+    int aliveMembers() {
+        return members.aliveMembers();
+    }
+
+    /** Names of the suspected members. */
+    Set<String> suspects() {
+        return suspicions.names();
+    }
+
     /** Whether so many members are suspected at once that a network partition is assumed. */
     public boolean suspectsPartition() {
         return suspicions.suspectsPartition(members.aliveMembers());
--- a/src/main/java/tinroad/fleet/SuspicionTracker.java
+++ b/src/main/java/tinroad/fleet/SuspicionTracker.java
@@ -1,6 +1,7 @@
 package tinroad.fleet;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -107,6 +108,11 @@
         return suspicions.isEmpty();
     }
 
+    /** Names of the suspected members. */
+    Set<String> names() {
+        return Collections.unmodifiableSet(suspicions.keySet());
+    }
+
     /** Draws a suspect; there must be one. */
     String sample() {
         return suspicions.keySet().stream()
--- a/src/main/java/tinroad/overload/OverloadController.java
+++ b/src/main/java/tinroad/overload/OverloadController.java
@@ -129,6 +129,11 @@
                         draining);
     }
 
+    /** How many requests are not over: queued, waiting for a result, running or paused. */
+    public int activeRequests() {
+        return requests.size();
+    }
+
     /** The active requests and what counts them: tests hold the counts to the requests. */
     record Tables(
             Collection<ActiveRequest> requests,
--- a/src/test/java/tinroad/core/GatewayHarness.java
+++ b/src/test/java/tinroad/core/GatewayHarness.java
@@ -10,9 +10,11 @@
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import org.slf4j.helpers.NOPLogger;
 import tinroad.config.Site;
 import tinroad.overload.Controller;
+import tinroad.overload.OverloadController;
 
 /**
  * A gateway on a clock that the test advances, with an engine that records its commands and an
@@ -54,17 +56,40 @@
 
     private GatewayHarness(Site site) {
         gateway =
-                new Gateway(
+                newGateway(
                         site,
-                        7,
-                        this,
-                        (ms, task) -> tasks.add(new Task(now + ms, order++, task)),
-                        this,
                         actions -> {
                             controller.actions = actions;
                             return controller;
-                        },
-                        NOPLogger.NOP_LOGGER);
+                        });
+    }
+
+    private GatewayHarness(Site site, OverloadController[] overloadController) {
+        gateway =
+                newGateway(
+                        site, actions -> overloadController[0] = new OverloadController(actions));
+    }
+
+    private Gateway newGateway(Site site, Function<Controller.Actions, Controller> factory) {
+        return new Gateway(
+                site,
+                7,
+                this,
+                (ms, task) -> tasks.add(new Task(now + ms, order++, task)),
+                this,
+                factory,
+                NOPLogger.NOP_LOGGER);
+    }
+
+    /**
+     * The gateway of {@link #keyed}, not attached yet, that decides by itself; its controller is
+     * put into the array.
+     *
+     * @param freshFor how long results of reads may be replayed, in ms
+     */
+    public static GatewayHarness deciding(
+            double freshFor, OverloadController[] overloadController) {
+        return new GatewayHarness(site(freshFor, true), overloadController);
     }
 
     /** An attached gateway that is healthy, with the classes of {@link #GatewayHarness(int)}. */
