Take SIGHUP over first of all in main: one during the start ended the process

What callers saw: a gateway that was told to reload while it started ended with status 129 and served nobody. SIGHUP must never end the process.

Cause: the virtual machine ends on SIGHUP until it is taken over, and ServeCommand did so only after both files were read and all parts put together.

Why it works: HangupSignal is registered first in main; a signal that comes before there is a gateway is kept and carried out once there is one.

--- a/src/main/java/tinroad/cli/Main.java
+++ b/src/main/java/tinroad/cli/Main.java
@@ -14,11 +14,13 @@
 
 /** The entry point: finds the command, parses its options and runs it. */
 public final class Main {
+    private static final String SERVE = "serve";
+
     /** All commands by the word typed, in the order of {@code help}. */
     static final Map<String, Supplier<Command>> COMMANDS = new LinkedHashMap<>();
 
     static {
-        COMMANDS.put("serve", ServeCommand::new);
+        COMMANDS.put(SERVE, ServeCommand::new);
         COMMANDS.put("check", CheckCommand::new);
         COMMANDS.put("figures", MetricsCommand::new);
         COMMANDS.put("members", MembersCommand::new);
@@ -35,6 +37,9 @@
 
     /** Runs the named command and exits with its status. */
     public static void main(String[] args) {
+        if (args.length > 0 && args[0].equals(SERVE)) {
+            HangupSignal.takeOver();
+        }
         LogBackend.select(args);
         System.exit(run(args, System.in, System.out, System.err));
     }
--- a/src/main/java/tinroad/cli/ServeCommand.java
+++ b/src/main/java/tinroad/cli/ServeCommand.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.io.PrintStream;
-import org.jline.utils.Signals;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import tinroad.config.ConfigException;
@@ -44,7 +43,9 @@
             if (!shutDownOnSigterm(node, processLog)) {
                 return;
             }
-            if (Signals.register("HUP", () -> reload(node, source, processLog)) == null) {
+            HangupSignal.takeOver();
+            HangupSignal.onReceived(() -> reload(node, source, processLog));
+            if (!HangupSignal.isTakenOver()) {
                 LOG.warn("SIGHUP can't be handled here: it would end this process");
             } else if (IgnoredSignals.isIgnored(IgnoredSignals.HUP)) {
                 LOG.warn(
--- a/src/test/java/tinroad/cli/ServeTest.java
+++ b/src/test/java/tinroad/cli/ServeTest.java
@@ -8,6 +8,7 @@
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
+import java.io.OutputStream;
 import java.net.DatagramPacket;
 import java.net.DatagramSocket;
 import java.net.InetAddress;
@@ -17,6 +18,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.ExecutorService;
@@ -162,6 +164,36 @@
         }
     }
 
+    /** Guards against a reload signal during the start that ends the process. */
+    @Test
+    void aHangupDuringTheStartIsKeptUntilThereIsAGatewayToReload(@TempDir Path dir)
+            throws Exception {
+        Path configured = dir.resolve("config.json");
+        Path pipe = dir.resolve("pipe");
+        assertEquals(0, new ProcessBuilder("mkfifo", pipe.toString()).start().waitFor());
+        try (ServerSocket engine = engine();
+                DatagramSocket roster = roster()) {
+            write(configured, engine, roster);
+            Process gateway = serve(pipe, dir);
+            try (BufferedReader log = gateway.inputReader(StandardCharsets.UTF_8)) {
+                // Open for writing once the gateway has opened it to read: the start waits there.
+                try (OutputStream out = Files.newOutputStream(pipe)) {
+                    signal(gateway, "HUP");
+                    Files.copy(configured, out);
+                    // What is read again is a plain file.
+                    Files.move(configured, pipe, StandardCopyOption.REPLACE_EXISTING);
+                }
+                waitFor(log, "configuration read again");
+                waitFor(log, "listening on ");
+                signal(gateway, "TERM");
+                waitFor(log, "drained");
+                assertEquals(128 + 15, gateway.waitFor());
+            } finally {
+                gateway.destroyForcibly();
+            }
+        }
+    }
+
     private static Process remembers(
             Path dir, int n, ServerSocket engine, DatagramSocket roster, String folder)
             throws IOException {
