Let the lab's engine pause wait for a run, so that hardCases forces its crossing

Cause: the script pauses the engine at 4.2 s and kills the gateway at 5 s; a paused engine begins no run, so whether one is in flight hung on the arrivals at 4.2 s.

Change: engine-pause takes hold once a run is under way, at once or with the next one. hardCases is its only user; its script and assertions are unchanged.

--- a/src/main/java/tinroad/lab/fake/EngineStand.java
+++ b/src/main/java/tinroad/lab/fake/EngineStand.java
@@ -57,6 +57,7 @@
     private boolean up;
     private boolean fresh;
     private boolean paused;
+    private boolean pausesAtNextRun;
     private boolean sick;
     private long notices;
     private ChannelHandlerContext link;
@@ -125,6 +126,7 @@
         account();
         up = false;
         paused = false;
+        pausesAtNextRun = false;
         running.clear();
         cores.clear();
         // Numbers go on: each start of the gateway, not of the engine, begins them anew.
@@ -146,9 +148,17 @@
         stored.clear();
     }
 
-    /** Does and says nothing for a while. */
+    /**
+     * Does and says nothing for a while, from the moment on at which a run is under way: at once,
+     * or when the next one begins. Guards scripts against a pause that no run happens to be in.
+     */
     public void pause(boolean on) {
         advance();
+        pausesAtNextRun = on && running.isEmpty();
+        setPaused(on && !running.isEmpty());
+    }
+
+    private void setPaused(boolean on) {
         paused = on;
         cores.pause(on);
     }
@@ -295,6 +305,10 @@
                 "result " + t.runs + " of " + t.id + " at " + gateway + " for " + asked.number();
         running.put(t.id, new Running(t, world.now(), result, sick, world.life(gateway)));
         cores.start(t.id, asked.work() * (sick ? SICK_PART : 1));
+        if (pausesAtNextRun) {
+            pausesAtNextRun = false;
+            setPaused(true);
+        }
     }
 
     /** The gauge of memory with so many runs. */
