Hold a slow reader's requests through a shutdown with a test; tell what is suspected

Tried: 200 requests of 1,024 bytes, so that reads end between two of them, 30 kB each in response, a client that reads late, the crossing forced at a barrier; also after 12,000 requests that let the system widen the socket's buffer.

--- a/src/test/java/tinroad/fastcgi/FrontendRaceTest.java
+++ b/src/test/java/tinroad/fastcgi/FrontendRaceTest.java
@@ -20,6 +20,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.concurrent.BrokenBarrierException;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.CyclicBarrier;
@@ -46,6 +47,12 @@
     private static final int HUNG_MS = 30_000;
     private static final int ROOM = 4;
 
+    /** The response of one request, many of which fill what the system holds for a client. */
+    private static final int RESULT_BYTES = 30_000;
+
+    /** Seed of the choice between lengths of one byte and of four. */
+    private static final long LENGTH_ENCODING_SEED = 1;
+
     private final MultiThreadIoEventLoopGroup group =
             new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
@@ -323,6 +330,71 @@
         assertTrue(empty.await(HUNG_MS, TimeUnit.MILLISECONDS));
     }
 
+    /** A request of this many bytes on the wire. */
+    private static byte[] requestOf(int bytes, int n) {
+        Map<String, String> fields = Records.fields(id(n));
+        byte[] begin = Records.begin(n, 1, 1);
+        byte[] end =
+                Cuts.join(
+                        Records.record(4, n, new byte[0], 0), Records.record(5, n, new byte[0], 0));
+        fields.put("HTTP_X_LONG", "v".repeat(128));
+        int least = Records.pairs(fields, new Random(LENGTH_ENCODING_SEED)).length;
+        fields.put("HTTP_X_LONG", "v".repeat(bytes - begin.length - end.length - 8 - least + 128));
+        byte[] pairs = Records.pairs(fields, new Random(LENGTH_ENCODING_SEED));
+        return Cuts.join(begin, Records.record(4, n, pairs, 0), end);
+    }
+
+    /**
+     * A client that reads slowly while this process leaves: reading pauses as responses pile up,
+     * with whole requests still in the socket.
+     */
+    @Test
+    void allThatASlowReaderHasWrittenIsAnsweredWhenThisProcessLeaves() throws Exception {
+        int requests = 200;
+        String result = "x".repeat(RESULT_BYTES);
+        Socket caller = new Socket();
+        callers.add(caller);
+        caller.setReceiveBufferSize(4096);
+        caller.setSoTimeout(HUNG_MS);
+        caller.connect(address);
+        // The system gives a socket that much is read from a larger buffer.
+        byte[][] many = new byte[60][];
+        for (int round = 0; round < 200; round++) {
+            for (int n = 1; n <= many.length; n++) {
+                many[n - 1] = requestOf(1024, 10_000 + round * many.length + n);
+            }
+            caller.getOutputStream().write(Cuts.join(many));
+            for (int n = 1; n <= many.length; n++) {
+                answer(caller);
+            }
+        }
+        loop.submit(
+                        () ->
+                                h.controller.onRequest =
+                                        r -> {
+                                            h.controller.actions.run(r.id());
+                                            h.gateway.onRunEnded(
+                                                    r.id(),
+                                                    Engine.RunOutcome.DONE,
+                                                    1,
+                                                    Unpooled.copiedBuffer(
+                                                            result, StandardCharsets.ISO_8859_1));
+                                        })
+                .sync();
+        crossing(
+                () -> {
+                    for (int n = 1; n <= requests; n++) {
+                        // As long as a buffer that is read: each read ends between two requests.
+                        caller.getOutputStream().write(requestOf(1024, n));
+                    }
+                },
+                front::closeGracefully);
+        for (int n = 1; n <= requests; n++) {
+            assertEquals(n + ": " + SERVED + result, answer(caller));
+        }
+        assertEquals(-1, caller.getInputStream().read());
+    }
+
     /**
      * A socket that takes nothing, as that of a caller that reads very slowly, until it is told to.
      */
