Add lab soak: drawn fleets in which every gateway ends, under clients that hold on

Need: the endings of gateways were tested one crossing at a time, under clients that follow the endpoint list.

Scripts got the settings unaware, signals and signal-gap.

--- a/src/main/java/tinroad/cli/LabCommand.java
+++ b/src/main/java/tinroad/cli/LabCommand.java
@@ -29,6 +29,8 @@
 import tinroad.lab.schedule.Plan;
 import tinroad.lab.script.Script;
 import tinroad.lab.script.ScriptReader;
+import tinroad.lab.soak.SoakRun;
+import tinroad.lab.soak.SoakVerdict;
 import tinroad.operator.OperatorException;
 import tinroad.operator.ValidationError;
 import tinroad.simulation.FleetModel;
@@ -47,7 +49,8 @@
         COMPARE,
         SCALE,
         LIST,
-        CAPACITY
+        CAPACITY,
+        SOAK
     }
 
     private static final String SCRIPTS = "lab";
@@ -61,13 +64,13 @@
 
     @Argument(
             index = 0,
-            metaVar = "run|model|members|compare|scale|list|capacity",
+            metaVar = "run|model|members|compare|scale|list|capacity|soak",
             required = true,
             usage =
                     "play a script with processes, or on virtual time; a table of the membership on"
                         + " virtual time; compare two programs; play a sweep of hollow gateways"
                         + " beside real ones; list the scripts that ship; write a capacity page's"
-                        + " tables from its results")
+                        + " tables from its results; play drawn fleets in which every gateway ends")
     private Act act;
 
     @Argument(
@@ -83,8 +86,8 @@
             name = "--seeds",
             metaVar = "A..B",
             usage =
-                    "compare: the seeds, from A to B (default: 1..5); model: one line of figures"
-                            + " for each of them")
+                    "compare, soak: the seeds, from A to B (default: 1..5); model: one line of"
+                            + " figures for each of them")
     private String seeds;
 
     @Option(
@@ -154,6 +157,7 @@
                 case COMPARE -> compare(out, err);
                 case SCALE -> scale(out, err);
                 case CAPACITY -> capacity(err);
+                case SOAK -> soak(out);
             };
         } catch (OperatorException e) {
             e.errors().forEach(fault -> err.println("tinroad: " + fault));
@@ -339,6 +343,32 @@
         return report.broken().isEmpty() ? SUCCESS : FAILURE;
     }
 
+    /** A row for each seed; the folders of runs that are not kept stay with --out. */
+    private int soak(PrintStream out) throws IOException, InterruptedException {
+        long broken = 0;
+        for (long number : range()) {
+            Path left =
+                    folder == null
+                            ? Files.createTempDirectory("tinroad-soak")
+                            : Path.of(folder, "seed-" + number);
+            SoakRun run = SoakRun.play(number, jar(0), left);
+            SoakVerdict.Outcome outcome = run.verdict().outcome();
+            out.printf(
+                    Locale.ROOT,
+                    "seed %d: %s, lab late by %.0f ms, %d requests%n",
+                    number,
+                    outcome.name().toLowerCase(Locale.ROOT),
+                    run.verdict().lateMillis(),
+                    run.requests());
+            run.verdict().faults().forEach(fault -> out.println("  " + fault));
+            broken += outcome == SoakVerdict.Outcome.BROKEN ? 1 : 0;
+            if (folder == null || outcome == SoakVerdict.Outcome.KEPT) {
+                Lab.delete(left);
+            }
+        }
+        return broken == 0 ? SUCCESS : FAILURE;
+    }
+
     private void print(Report report, PrintStream out) {
         if (output == Output.JSON) {
             out.println(report.line());
@@ -360,10 +390,12 @@
         if (!text.matches("\\d{1,6}\\.\\.\\d{1,6}")) {
             throw new IllegalArgumentException("--seeds must be A..B; found " + text);
         }
-        return LongStream.rangeClosed(
-                        Long.parseLong(text.replaceAll("\\..*", "")),
-                        Long.parseLong(text.replaceAll(".*\\.", "")))
-                .toArray();
+        long first = Long.parseLong(text.replaceAll("\\..*", ""));
+        long last = Long.parseLong(text.replaceAll(".*\\.", ""));
+        if (first > last) {
+            throw new IllegalArgumentException("--seeds must be A..B, A up to B; found " + text);
+        }
+        return LongStream.rangeClosed(first, last).toArray();
     }
 
     /** A sweep; with --out its points, fits and charts are added to those in the folder. */
--- a/src/main/java/tinroad/lab/Lab.java
+++ b/src/main/java/tinroad/lab/Lab.java
@@ -683,6 +683,7 @@
         life.noticedAt = now();
         life.told = true;
         keepers.execute(process::notice);
+        signalAfterNotice(process, hit.trouble());
         agenda.at(
                 now() + script.fleet().stop(),
                 () -> {
@@ -701,6 +702,16 @@
                 });
     }
 
+    /** Sends the signals that follow a notice, until its process has ended. */
+    private void signalAfterNotice(GatewayProcess process, Script.Trouble notice) {
+        for (int i = 0; i < notice.signals().size(); i++) {
+            String name = notice.signals().get(i);
+            agenda.at(
+                    now() + (i + 1) * notice.signalGap(),
+                    () -> keepers.execute(() -> signal(process, name)));
+        }
+    }
+
     private void whenEnded(Member m, Life life, Runnable task) {
         if (life.exit >= 0) {
             task.run();
--- a/src/main/java/tinroad/lab/fake/Proxy.java
+++ b/src/main/java/tinroad/lab/fake/Proxy.java
@@ -62,6 +62,7 @@
     private final Repeating repeating;
     private final UniformRandomProvider ids;
     private final Carrier carrier;
+    private final boolean unaware;
     private int waiting;
 
     /** Proxy {@code number}, whose tries {@code carrier} brings on. */
@@ -71,22 +72,31 @@
         this.carrier = carrier;
         script = world.plan.script();
         UniformRandomProvider random = Draw.stream(world.plan.seed(), "proxy " + number);
-        // Of the proxies, spread over their numbers, this share heeds.
         double heed = script.callers().heed();
-        boolean heeds = Math.floor((number + 1) * heed + 0.5) > Math.floor(number * heed + 0.5);
+        boolean heeds = isAmong(heed);
+        unaware = isAmong(script.callers().unaware());
         choosing = new Choosing(script.callers().choice(), script.fleet().gateways(), random);
         repeating = new Repeating(script.callers(), heeds, random);
         ids = Draw.stream(world.plan.seed(), "ids " + number);
     }
 
+    /** Whether this proxy is among this share of them, spread over their numbers. */
+    private boolean isAmong(double share) {
+        return Math.floor((number + 1) * share + 0.5) > Math.floor(number * share + 0.5);
+    }
+
     /** The roster's news reached this proxy. */
     public void listed(int gateway, boolean takesWork) {
-        choosing.listed(gateway, takesWork);
+        if (!unaware) {
+            choosing.listed(gateway, takesWork);
+        }
     }
 
     /** A health check ended. */
     public void checked(int gateway, boolean good) {
-        choosing.checked(gateway, good);
+        if (!unaware) {
+            choosing.checked(gateway, good);
+        }
     }
 
     /** How many requests somebody waits for. */
--- a/src/main/java/tinroad/lab/script/Script.java
+++ b/src/main/java/tinroad/lab/script/Script.java
@@ -117,6 +117,8 @@
      *     asked
      * @param checks period of health checks by each proxy at each gateway; 0 is none
      * @param idle connections are closed after so long
+     * @param unaware share of the proxies that follow neither the roster's news nor health checks:
+     *     they use each gateway for as long as it has a connection to give
      */
     public record Callers(
             int proxies,
@@ -130,7 +132,8 @@
             double heed,
             boolean walk,
             double checks,
-            double idle) {}
+            double idle,
+            double unaware) {}
 
     /** How a proxy chooses a gateway. */
     public enum Choice {
@@ -258,6 +261,8 @@
      * @param callersZone only links from proxies of this zone; -1 is any
      * @param backLeast gone for so long, at least; counted from the end of the process
      * @param jar the program that comes back; "" is the same
+     * @param signals with a notice: names of the signals that follow it, in this order
+     * @param signalGap between two of them, in ms; 0: in the same instant
      */
     public record Trouble(
             Deed deed,
@@ -279,5 +284,7 @@
             double delay,
             double jitter,
             double rate,
-            double chance) {}
+            double chance,
+            List<String> signals,
+            double signalGap) {}
 }
--- a/src/main/java/tinroad/lab/script/ScriptReader.java
+++ b/src/main/java/tinroad/lab/script/ScriptReader.java
@@ -141,7 +141,8 @@
                 c.getDouble("heed"),
                 c.getBoolean("walk"),
                 ms(c, "checks"),
-                ms(c, "idle"));
+                ms(c, "idle"),
+                c.getDouble("unaware"));
     }
 
     private static Load load(Config c) {
@@ -184,7 +185,9 @@
                                         ms(c, "delay"),
                                         ms(c, "jitter"),
                                         c.getDouble("rate"),
-                                        c.getDouble("chance")))
+                                        c.getDouble("chance"),
+                                        c.getStringList("signals"),
+                                        ms(c, "signal-gap")))
                 .toList();
     }
 
--- a/src/test/java/tinroad/lab/fake/CallersTest.java
+++ b/src/test/java/tinroad/lab/fake/CallersTest.java
@@ -23,7 +23,7 @@
 
     private static Repeating repeating(int tries, boolean walk, boolean heeds) {
         return new Repeating(
-                new Callers(1, Choice.TURN, 1, 1, 1, 2, tries, 100, 1, walk, 0, 1000),
+                new Callers(1, Choice.TURN, 1, 1, 1, 2, tries, 100, 1, walk, 0, 1000, 0),
                 heeds,
                 Draw.stream(1, "test"));
     }
