Write the lab's key file once, not at each start while another gateway reads it

Cause: Lab.operator truncated and wrote the fleet's one key file anew at each start of a gateway; the one started before may be reading it then. The content is the same each time, so only the moment of writing can show a file without a key.

Change: the key is written once, before the first start.

--- a/src/main/java/tinroad/lab/Lab.java
+++ b/src/main/java/tinroad/lab/Lab.java
@@ -208,6 +208,7 @@
         range = LoopbackRange.take(CALLERS_PORT);
         zeroNanos = System.nanoTime();
         Files.createDirectories(options.folder);
+        writeKeys();
         onLoop(this::build);
         for (Member m : members) {
             // Guards against the logs of an earlier run in this folder: they tell of another's good
@@ -467,27 +468,30 @@
                 });
     }
 
+    /**
+     * Writes the key of this run, once: a gateway that starts must not find the file while it is
+     * written anew for the next one.
+     */
+    private void writeKeys() throws IOException {
+        long drawn = Draw.stream(plan.seed(), "keys").nextLong() | Long.MIN_VALUE;
+        byte[] key = Long.toHexString(drawn).getBytes(StandardCharsets.US_ASCII);
+        Files.writeString(keys(), Base64.getEncoder().encodeToString(key) + "\n");
+    }
+
+    private Path keys() {
+        return options.folder.resolve("keys");
+    }
+
     /**
      * The gateway's own copy of the operator file, with its address, its zone, the first two
-     * gateways' and a key of this run's in it.
+     * gateways' and the key file of this run in it.
      */
     private Path operator(Member m) throws IOException {
-        Path keys =
-                Files.writeString(
-                        options.folder.resolve("keys"),
-                        Base64.getEncoder()
-                                        .encodeToString(
-                                                Long.toHexString(
-                                                                Draw.stream(plan.seed(), "keys")
-                                                                                .nextLong()
-                                                                        | Long.MIN_VALUE)
-                                                        .getBytes(StandardCharsets.US_ASCII))
-                                + "\n");
         return Files.writeString(
                 m.folder.resolve("operator.conf"),
                 Files.readString(options.operator)
                         .replace("@HOST@", range.net() + host(m.number))
-                        .replace("@KEYS@", keys.toAbsolutePath().toString())
+                        .replace("@KEYS@", keys().toAbsolutePath().toString())
                         .replace("@ZONE@", "z" + plan.zone(m.number))
                         .replace("@FIRST@", range.net() + host(0))
                         .replace("@SECOND@", range.net() + host(1)));
