Count the lab's fault from before it is done: a reset came before its own excuse

Cause: Lab.cutLinks had the relays reset the connections and only then read the clock for the time from which the script excuses their loss; the relays run on threads of their own and stamped the close before that.

Change: the clock is read first.

--- a/src/main/java/tinroad/lab/Lab.java
+++ b/src/main/java/tinroad/lab/Lab.java
@@ -850,9 +850,11 @@
                             ? all
                             : List.of(all.get(hit.trouble().callersZone())));
         }
+        // First: a connection may be reset before the next reading of the clock.
+        double begunAt = now();
         hitLinks.forEach(l -> l.begin(hit.trouble()));
         if (hit.trouble().links().contains(Link.CALLERS)) {
-            ledger.excuses.add(new Excuse(m.number, now(), hit.until()));
+            ledger.excuses.add(new Excuse(m.number, begunAt, hit.until()));
         }
         refuse(m, hit, true);
         agenda.at(
