Run no keyed request twice while a new version takes over

Cause: the table that tells attempts of one request apart (IdempotencyTable) is of one process, and two processes of one gateway serve during a takeover.

Evidence: the engine's record has every first run on the link of the old process and every second one on that of the new process, 1.8 s later, in a window of 23.6 s.

Change: a run of a keyed request is claimed in a file in TMPDIR that all processes of the gateway map (tinroad.handover), before it is submitted. An attempt of a request that the other process runs waits for its result. In doubt (lock not free, a process that records nothing, the other one gone) the attempt fails and is not run. A process that was replaced stays until its keyed runs have ended, at most to its exit time.

Why it works: the claim is atomic between processes, comes before the run, and outlives the process that made it.

--- a/src/main/java/tinroad/cli/ServeCommand.java
+++ b/src/main/java/tinroad/cli/ServeCommand.java
@@ -18,6 +18,8 @@
 public final class ServeCommand extends GatewayCommand {
     private static final Logger LOG = LoggerFactory.getLogger("server");
 
+    private final long startMillis = System.currentTimeMillis();
+
     @Override
     About about() {
         return new About(
@@ -36,6 +38,7 @@
                 new GatewayNode(
                         config,
                         System.getenv("TMPDIR"),
+                        startMillis,
                         operator == null ? StateSettings.NONE : operator.state(),
                         operator == null ? FleetSettings.NONE : operator.fleet(),
                         operator == null ? CatalogSettings.DEFAULT : operator.catalog())) {
--- a/src/main/java/tinroad/core/ActiveRequest.java
+++ b/src/main/java/tinroad/core/ActiveRequest.java
@@ -3,8 +3,6 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
 import tinroad.catalog.Catalog;
 import tinroad.overload.Controller.Idempotency;
 import tinroad.overload.Controller.RequestClass;
@@ -56,10 +54,13 @@
     /** The entry that this request is a duplicate of, or null. */
     IdempotencyTable.Entry duplicateOf;
 
+    /** Whether another process of the gateway may have run this request and nobody can tell. */
+    boolean unknownWhetherRun;
+
     /** Since when this duplicate has been waiting for the result of its original. */
     double replayRequestedAtMillis;
 
-    private byte[] bodyDigest;
+    private Digest fingerprint;
 
     ActiveRequest(
             IncomingRequest incoming,
@@ -95,23 +96,29 @@
      * state that nothing ran.
      */
     boolean mayHaveRun() {
-        return progress != Progress.NOT_SENT || (duplicateOf != null && duplicateOf.runSubmitted());
+        return progress != Progress.NOT_SENT
+                || unknownWhetherRun
+                || (duplicateOf != null && duplicateOf.runSubmitted());
     }
 
     /**
-     * Returns a digest by which the bodies of two attempts are compared. The first call must come
-     * while the body is present.
+     * Returns a digest of class and body, by which two attempts are compared. The first call must
+     * come while the body is present.
      */
-    byte[] bodyDigest() {
-        if (bodyDigest == null) {
-            try {
-                bodyDigest =
-                        MessageDigest.getInstance("SHA-256").digest(ByteBufUtil.getBytes(body));
-            } catch (NoSuchAlgorithmException e) {
-                throw new IllegalStateException("SHA-256 is not available", e);
-            }
+    Digest fingerprint() {
+        if (fingerprint == null) {
+            fingerprint = Digest.of(className(), ByteBufUtil.getBytes(body));
         }
-        return bodyDigest;
+        return fingerprint;
+    }
+
+    /** Returns this request as an attempt of a keyed one; the body must be present. */
+    RunClaims.Attempt attempt() {
+        return new RunClaims.Attempt(
+                idempotencyKey,
+                fingerprint(),
+                arrivedAtMillis,
+                requestClass().keyRetentionMillis());
     }
 
     /**
--- a/src/main/java/tinroad/core/DeadlineGuard.java
+++ b/src/main/java/tinroad/core/DeadlineGuard.java
@@ -3,8 +3,8 @@
 /**
  * Answers requests whose deadline has passed where the controller does not: because the process
  * stalled, the engine link is down, or the decision code failed. It also gives up on runs whose end
- * can't be reported any more, and removes expired entries from the tables. It runs on the event
- * loop, every {@link #PERIOD_MILLIS}.
+ * can't be reported any more, answers duplicates of runs of other processes, and removes expired
+ * entries from the tables. It runs on the event loop, every {@link #PERIOD_MILLIS}.
  */
 final class DeadlineGuard {
     /**
@@ -72,6 +72,8 @@
                 lifecycle.abandonLostRun(request);
             }
         }
+        lifecycle.answerDuplicatesOfPeerRuns();
+        idempotency.heartbeat(nowMillis);
         requests.expireExecuted(nowMillis);
         warmStart.recoveryPhase().tick(nowMillis);
         idempotency.expire(nowMillis);
--- a/src/main/java/tinroad/core/Gateway.java
+++ b/src/main/java/tinroad/core/Gateway.java
@@ -158,6 +158,14 @@
         }
     }
 
+    /**
+     * Sets the claims on runs of keyed requests that all processes of this gateway share. It is
+     * called before the first request, or never if there is no other process.
+     */
+    public void shareRunClaims(RunClaims claims) {
+        idempotency.shareClaims(claims);
+    }
+
     /** Adds a frontend. All frontends are added before the first request. */
     public void addFrontend(Frontend frontend) {
         actions.addFrontend(frontend);
@@ -372,6 +380,15 @@
         return requests.unanswered();
     }
 
+    /** Returns whether a keyed request was sent to run and its run has not ended. */
+    public boolean hasKeyedRun() {
+        return requests.all().stream()
+                .anyMatch(
+                        request ->
+                                request.idempotencyKey != null
+                                        && request.progress == Progress.SENT);
+    }
+
     /** Returns the table of the requests in flight, so that tests can check its counts. */
     RequestTable requestTable() {
         return requests;
--- a/src/main/java/tinroad/core/IdempotencyTable.java
+++ b/src/main/java/tinroad/core/IdempotencyTable.java
@@ -4,11 +4,12 @@
 import io.netty.buffer.ByteBufUtil;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * Records which requests are duplicates of which, and the results that may be replayed to them.
@@ -19,7 +20,9 @@
  *
  * <p>Attempts of keyed classes are found by their idempotency key, from the first that is queued
  * until no attempt of the same request may run any more. Neither a full table nor a failure of the
- * controller makes a second one of them run.
+ * controller makes a second one of them run. While another process of the gateway serves, too, runs
+ * are also claimed in {@link RunClaims}, and an attempt of a request that the other process runs is
+ * a duplicate of that run.
  *
  * <p>See docs/keyed-requests.md for what a duplicate gets in each state. All methods must be called
  * on the event loop. Times are in Unix ms.
@@ -63,6 +66,10 @@
     /** Entries of keyed requests whose result is retained, oldest first. */
     private final ArrayDeque<Entry> keyedResults = new ArrayDeque<>();
 
+    /** Entries of runs of other processes that have not ended, as far as this one knows. */
+    private final Set<Entry> peerRuns = new LinkedHashSet<>();
+
+    private RunClaims claims = RunClaims.SINGLE_PROCESS;
     private int resultBytes;
     private double nextKeyExpiryAtMillis;
 
@@ -70,6 +77,13 @@
         this.resultReplayMillis = resultReplayMillis;
     }
 
+    /**
+     * Sets the claims on runs that all processes of the gateway share; called before any request.
+     */
+    void shareClaims(RunClaims shared) {
+        claims = shared;
+    }
+
     /** A request, whichever of its attempts runs. */
     static final class Entry {
         final String requestId;
@@ -77,8 +91,11 @@
         /** The key that all attempts of the request carry; null for reads. */
         private final String idempotencyKey;
 
-        private final String className;
-        private final byte[] bodyDigest;
+        /** Of class and body; null for reads. */
+        private final Digest fingerprint;
+
+        /** Whether another process of the gateway runs the request. */
+        private final boolean runByPeer;
 
         /** The end of a read's retention, or of a keyed request's window. */
         private double validUntilMillis;
@@ -102,9 +119,20 @@
 
         private Entry(ActiveRequest request) {
             requestId = request.id;
-            className = request.className();
             idempotencyKey = request.idempotencyKey;
-            bodyDigest = request.idempotencyKey == null ? null : request.bodyDigest();
+            fingerprint = request.idempotencyKey == null ? null : request.fingerprint();
+            runByPeer = false;
+        }
+
+        private Entry(String idempotencyKey, RunClaims.PeerRun run) {
+            // The id of the attempt that runs is not known here, and nothing depends on it.
+            requestId = idempotencyKey;
+            this.idempotencyKey = idempotencyKey;
+            fingerprint = run.fingerprint();
+            runByPeer = true;
+            runSubmitted = true;
+            validUntilMillis = run.validUntilMillis();
+            expiresAtMillis = run.expiresAtMillis();
         }
 
         boolean completed() {
@@ -133,11 +161,16 @@
         return request.className() + ' ' + request.resultKey;
     }
 
-    /** Returns the entry that this request is a duplicate of, or null. */
+    /**
+     * Returns the entry that this request is a duplicate of, or null. Marks the request if other
+     * processes may have run it and nobody can tell.
+     */
     Entry findOriginal(ActiveRequest request, double nowMillis) {
         if (request.idempotencyKey != null) {
             Entry entry = keyedEntries.get(request.idempotencyKey);
-            return entry == null || isWindowOver(entry, request, nowMillis) ? null : entry;
+            return entry == null || isWindowOver(entry, request, nowMillis)
+                    ? findPeerRun(request, nowMillis)
+                    : entry;
         }
         Entry entry =
                 request.resultKey == null || resultReplayMillis <= 0
@@ -154,15 +187,37 @@
     }
 
     /**
-     * Returns whether the window is over for this attempt. If the arrival that the attempt states
-     * is earlier than the current time, that arrival counts, so that an attempt that was written
-     * within the window and is read after it does not run.
+     * Returns a new entry for a run of another process that this attempt is a duplicate of, or null
+     * if none is known.
      */
+    private Entry findPeerRun(ActiveRequest request, double nowMillis) {
+        RunClaims.Lookup lookup = claims.find(request.attempt(), nowMillis);
+        request.unknownWhetherRun = lookup.state() == RunClaims.Lookup.State.UNKNOWN;
+        RunClaims.PeerRun run = lookup.run();
+        if (run == null
+                || (run.completed()
+                        && request.attempt().isAfterWindow(run.validUntilMillis(), nowMillis))) {
+            return null;
+        }
+        Entry earlier = keyedEntries.get(request.idempotencyKey);
+        if (earlier != null) {
+            remove(earlier);
+        }
+        Entry entry = new Entry(request.idempotencyKey, run);
+        keyedEntries.put(request.idempotencyKey, entry);
+        if (run.completed()) {
+            complete(entry, bytesOf(run.result()), nowMillis);
+        } else {
+            peerRuns.add(entry);
+        }
+        return entry;
+    }
+
+    /** Returns whether the window of this run is over for this attempt. */
     private static boolean isWindowOver(Entry entry, ActiveRequest request, double nowMillis) {
         return entry.runSubmitted
                 && entry.completed
-                && Math.min(nowMillis, request.arrivedAtMillis)
-                        > entry.validUntilMillis + WINDOW_MARGIN_MILLIS;
+                && request.attempt().isAfterWindow(entry.validUntilMillis, nowMillis);
     }
 
     /**
@@ -172,17 +227,29 @@
     static boolean conflicts(ActiveRequest request, Entry original) {
         return request.idempotencyKey != null
                 && original != null
-                && !(request.className().equals(original.className)
-                        && Arrays.equals(request.bodyDigest(), original.bodyDigest));
+                && !request.fingerprint().equals(original.fingerprint);
     }
 
     /**
      * Returns whether a run was submitted for the request with this key, and no attempt of it may
      * run again yet; false for null.
      */
-    boolean isRunSubmitted(String idempotencyKey) {
-        Entry entry = idempotencyKey == null ? null : keyedEntries.get(idempotencyKey);
-        return entry != null && entry.runSubmitted;
+    boolean isRunSubmitted(String idempotencyKey, double nowMillis) {
+        if (idempotencyKey == null) {
+            return false;
+        }
+        Entry entry = keyedEntries.get(idempotencyKey);
+        return (entry != null && entry.runSubmitted)
+                || claims.find(idempotencyKey, nowMillis).state() != RunClaims.Lookup.State.NONE;
+    }
+
+    /**
+     * Returns whether another process may have submitted a run of this request. If so, no attempt
+     * may get the answer that nothing ran.
+     */
+    boolean mayBeRunByPeer(ActiveRequest request, double nowMillis) {
+        return request.idempotencyKey != null
+                && claims.find(request.attempt(), nowMillis).state() != RunClaims.Lookup.State.NONE;
     }
 
     /** Returns whether there is no capacity for one more idempotency key. */
@@ -223,7 +290,8 @@
 
     /**
      * Claims the run that is about to be submitted. Returns false if it must not be submitted,
-     * because another attempt has claimed it. The window counts from the arrival of this attempt.
+     * because another attempt has claimed it, or may have in another process. The window counts
+     * from the arrival of this attempt.
      */
     boolean claimRun(
             ActiveRequest request, double windowMillis, double deadlineMillis, double nowMillis) {
@@ -234,19 +302,29 @@
         if (request.ownEntry == null) {
             return false;
         }
+        double validUntilMillis = request.arrivedAtMillis + windowMillis;
+        double expiresAtMillis =
+                Math.max(nowMillis, validUntilMillis) + WINDOW_MARGIN_MILLIS + deadlineMillis;
+        if (!claims.claim(request.attempt(), expiresAtMillis, nowMillis)) {
+            return false;
+        }
         request.ownEntry.runSubmitted = true;
-        request.ownEntry.validUntilMillis = request.arrivedAtMillis + windowMillis;
-        request.ownEntry.expiresAtMillis =
-                Math.max(nowMillis, request.ownEntry.validUntilMillis)
-                        + WINDOW_MARGIN_MILLIS
-                        + deadlineMillis;
+        request.ownEntry.validUntilMillis = validUntilMillis;
+        request.ownEntry.expiresAtMillis = expiresAtMillis;
         return true;
     }
 
     /** Revokes the claim of a run that was not submitted after all, so that nothing has run yet. */
     void revokeClaim(ActiveRequest request) {
         if (request.ownEntry != null) {
-            request.ownEntry.runSubmitted = false;
+            revokeClaim(request.ownEntry);
+        }
+    }
+
+    private void revokeClaim(Entry entry) {
+        if (entry.runSubmitted) {
+            entry.runSubmitted = false;
+            claims.release(entry.idempotencyKey);
         }
     }
 
@@ -264,28 +342,73 @@
         if (entry == null || entry.completed) {
             return List.of();
         }
-        entry.completed = true;
-        entry.completedAtMillis = nowMillis;
-        entry.result = result == null ? null : ByteBufUtil.getBytes(result);
-        List<ActiveRequest> duplicates = List.copyOf(entry.waitingDuplicates);
-        entry.waitingDuplicates.clear();
+        byte[] resultCopy = bytesOf(result);
+        List<ActiveRequest> duplicates = complete(entry, resultCopy, nowMillis);
         if (entry.idempotencyKey != null) {
             if (request.progress == Progress.NOT_SENT) {
                 // The request never ran, so the next attempt is a new request.
+                revokeClaim(entry);
                 remove(entry);
-            } else if (entry.result != null) {
-                keyedResults.add(entry);
-                resultBytes += entry.result.length;
-                while (resultBytes > MAX_RESULT_BYTES) {
-                    dropResult(keyedResults.peek());
-                }
+            } else {
+                claims.complete(entry.idempotencyKey, resultCopy);
+            }
+        }
+        return duplicates;
+    }
+
+    private static byte[] bytesOf(ByteBuf result) {
+        return result == null ? null : ByteBufUtil.getBytes(result);
+    }
+
+    /** Completes an entry and returns the duplicates that waited for it. */
+    private List<ActiveRequest> complete(Entry entry, byte[] result, double nowMillis) {
+        entry.completed = true;
+        entry.completedAtMillis = nowMillis;
+        entry.result = result;
+        List<ActiveRequest> duplicates = List.copyOf(entry.waitingDuplicates);
+        entry.waitingDuplicates.clear();
+        if (entry.idempotencyKey != null && result != null) {
+            keyedResults.add(entry);
+            resultBytes += result.length;
+            while (resultBytes > MAX_RESULT_BYTES) {
+                dropResult(keyedResults.peek());
             }
         }
         return duplicates;
     }
 
+    /** The end of a run of another process, with the duplicates that waited for it. */
+    record PeerRunEnd(ByteBuf result, List<ActiveRequest> duplicates) {}
+
+    /**
+     * Returns the runs of other processes that have ended since the last call. Runs that no
+     * duplicate waits for are left out until one does.
+     */
+    List<PeerRunEnd> endedPeerRuns(double nowMillis) {
+        List<PeerRunEnd> ended = new ArrayList<>();
+        for (Entry entry : List.copyOf(peerRuns)) {
+            if (!entry.waitingDuplicates.isEmpty()) {
+                RunClaims.PeerRun run = claims.find(entry.idempotencyKey, nowMillis).run();
+                if (run != null && run.completed()) {
+                    peerRuns.remove(entry);
+                    ended.add(
+                            new PeerRunEnd(
+                                    run.result(),
+                                    complete(entry, bytesOf(run.result()), nowMillis)));
+                }
+            }
+        }
+        return ended;
+    }
+
+    /** Records that this process is alive. */
+    void heartbeat(double nowMillis) {
+        claims.heartbeat(nowMillis);
+    }
+
     private void remove(Entry entry) {
         keyedEntries.remove(entry.idempotencyKey, entry);
+        peerRuns.remove(entry);
         dropResult(entry);
     }
 
@@ -317,7 +440,8 @@
         if (nowMillis >= nextKeyExpiryAtMillis) {
             nextKeyExpiryAtMillis = nowMillis + KEY_EXPIRY_PERIOD_MILLIS;
             List.copyOf(keyedEntries.values()).stream()
-                    .filter(entry -> entry.completed && entry.expiresAtMillis < nowMillis)
+                    .filter(entry -> entry.completed || entry.runByPeer)
+                    .filter(entry -> entry.expiresAtMillis < nowMillis)
                     .forEach(this::remove);
         }
     }
--- a/src/main/java/tinroad/core/RequestArrivals.java
+++ b/src/main/java/tinroad/core/RequestArrivals.java
@@ -49,13 +49,13 @@
             // An invalid answer promises that nothing ran. That would be wrong if another attempt
             // ran before the class was removed.
             responseSink.respond(
-                    idempotency.isRunSubmitted(incoming.idempotencyKey())
+                    idempotency.isRunSubmitted(incoming.idempotencyKey(), nowMillis)
                             ? Response.failed(Progress.SENT)
                             : Response.invalid());
             return;
         }
         int tenantSlot = catalog.tenantSlot(incoming.tenantName());
-        boolean keyed = isKeyed(incoming, classEntry.spec());
+        boolean keyed = isKeyed(incoming, classEntry.spec(), nowMillis);
         if (!isValid(incoming, tenantSlot, keyed, nowMillis)) {
             respondWithoutEntry(classEntry, responseSink, Response.invalid());
             return;
@@ -86,9 +86,9 @@
     /**
      * Returns whether the request counts as keyed: its class is keyed, or was when the request ran.
      */
-    private boolean isKeyed(IncomingRequest incoming, RequestClass requestClass) {
+    private boolean isKeyed(IncomingRequest incoming, RequestClass requestClass, double nowMillis) {
         return requestClass.idempotency() == Idempotency.IDEMPOTENT_WITH_KEY
-                || idempotency.isRunSubmitted(incoming.idempotencyKey());
+                || idempotency.isRunSubmitted(incoming.idempotencyKey(), nowMillis);
     }
 
     private boolean isValid(
@@ -114,11 +114,13 @@
 
     /**
      * Returns whether the controller is notified of the request. It is not if the deadline passed
-     * before the request was read, which would distort the controller's averages, or if the
-     * idempotency table has no capacity for the request's key.
+     * before the request was read, which would distort the controller's averages, if the
+     * idempotency table has no capacity for the request's key, or if another process of the gateway
+     * may have run it.
      */
     private boolean canAccept(ActiveRequest request, boolean keyed, double nowMillis) {
         return driver.isStarted()
+                && !request.unknownWhetherRun
                 && !(nowMillis >= request.deadlineAtMillis)
                 && !(keyed && request.duplicateOf == null && idempotency.isFull());
     }
--- a/src/main/java/tinroad/core/RequestLifecycle.java
+++ b/src/main/java/tinroad/core/RequestLifecycle.java
@@ -76,13 +76,17 @@
             }
         }
         Response sent =
-                response.kind() == Response.Kind.REJECTED && request.mayHaveRun()
+                response.kind() == Response.Kind.REJECTED && mayHaveRun(request)
                         ? Response.failed(request.progress)
                         : response;
         metrics.countResponse(request.classEntry.slot(), request.className(), sent.kind());
         request.responseSink.respond(sent);
     }
 
+    private boolean mayHaveRun(ActiveRequest request) {
+        return request.mayHaveRun() || idempotency.mayBeRunByPeer(request, clock.nowMillis());
+    }
+
     /** Cancels a request whose client has disconnected, as far as its frontend knows. */
     void cancel(String id, ResponseSink responseSink) {
         ActiveRequest request = requests.find(id);
@@ -137,6 +141,13 @@
         }
     }
 
+    /** Answers the duplicates of runs of other processes that have ended. */
+    void answerDuplicatesOfPeerRuns() {
+        for (IdempotencyTable.PeerRunEnd end : idempotency.endedPeerRuns(clock.nowMillis())) {
+            end.duplicates().forEach(duplicate -> respondToDuplicate(duplicate, end.result()));
+        }
+    }
+
     private void respondToDuplicate(ActiveRequest duplicate, ByteBuf result) {
         respond(
                 duplicate,
@@ -175,8 +186,8 @@
                 requestClass.keyRetentionMillis(),
                 requestClass.deadlineMillis(),
                 clock.nowMillis())) {
-            // Another attempt of the request has run, or is about to. This enforces the rule of one
-            // run where the controller does not.
+            // Another attempt of the request has run, or is about to, here or in another process.
+            // This enforces the rule of one run where the controller does not.
             failUnsent(request);
             return;
         }
--- a/src/main/java/tinroad/node/GatewayNode.java
+++ b/src/main/java/tinroad/node/GatewayNode.java
@@ -29,10 +29,13 @@
 import tinroad.engine.EngineLink;
 import tinroad.fastcgi.FastCgiFrontend;
 import tinroad.gossip.UdpTransport;
+import tinroad.handover.HandoverClaims;
+import tinroad.handover.ProcessStart;
 import tinroad.log.LogKeyValues;
 import tinroad.operator.CatalogSettings;
 import tinroad.operator.FleetSettings;
 import tinroad.operator.StateSettings;
+import tinroad.overload.Controller.Idempotency;
 import tinroad.overload.OverloadController;
 import tinroad.recovery.RestoredState;
 
@@ -70,6 +73,10 @@
     private final FastCgiFrontend frontend;
     private final LoadReporter reporter;
     private final ListenerHandover handover;
+
+    /** Null if no class is keyed. */
+    private final HandoverClaims claims;
+
     private final StatePersistence persistence;
     private final double savePeriodMillis;
     private final FleetSettings fleetSettings;
@@ -104,7 +111,13 @@
             String directory,
             StateSettings stateSettings,
             FleetSettings fleetSettings) {
-        this(config, directory, stateSettings, fleetSettings, CatalogSettings.DEFAULT);
+        this(
+                config,
+                directory,
+                System.currentTimeMillis(),
+                stateSettings,
+                fleetSettings,
+                CatalogSettings.DEFAULT);
     }
 
     /**
@@ -112,10 +125,12 @@
      *
      * @param directory directory in which the processes of one gateway find each other; null or
      *     empty if there is none
+     * @param processStartMillis when this process started, in Unix ms
      */
     public GatewayNode(
             GatewayConfig config,
             String directory,
+            long processStartMillis,
             StateSettings stateSettings,
             FleetSettings fleetSettings,
             CatalogSettings catalogSettings) {
@@ -151,6 +166,10 @@
         frontend = new FastCgiFrontend(clock, gateway, config.sockets(), config.memoryMb());
         reporter = new LoadReporter(eventLoop, config.roster(), config.name(), config.seed());
         gateway.addFrontend(frontend);
+        claims = hasKeyedClass(site) ? openClaims(directory, processStartMillis) : null;
+        if (claims != null) {
+            gateway.shareRunClaims(claims);
+        }
         gossip = fleetSettings.enabled() ? newGossip() : null;
         reloader =
                 new ConfigReloader(
@@ -171,6 +190,29 @@
         }
     }
 
+    private static boolean hasKeyedClass(Site site) {
+        return site.settings().classes().stream()
+                .anyMatch(
+                        requestClass ->
+                                requestClass.idempotency() == Idempotency.IDEMPOTENT_WITH_KEY);
+    }
+
+    private HandoverClaims openClaims(String directory, long processStartMillis) {
+        return HandoverClaims.open(
+                directory,
+                config.name(),
+                new ProcessStart(processStartMillis, mayShareAddressWithAnotherProcess()));
+    }
+
+    private boolean mayShareAddressWithAnotherProcess() {
+        try {
+            return anotherProcessSharesAddress();
+        } catch (IOException e) {
+            LOG.warn("can't tell whether another process listens: {}", e.toString());
+            return true;
+        }
+    }
+
     /**
      * Creates the follower of the change log, which continues at the position in the restored
      * state; null if no change log is followed.
@@ -391,6 +433,9 @@
         do {
             try {
                 shareLimits(handover.isShared());
+                if (claims != null && handover.isKnownAsOldest()) {
+                    claims.recordPredecessorsEnded(clock.nowMillis());
+                }
                 reloader.reloadWhileEngineIsUnreachable(source);
             } catch (RuntimeException e) {
                 // The process would end together with this thread, even with requests in flight.
@@ -415,6 +460,9 @@
         persistence.close();
         reloader.close();
         handover.close();
+        if (claims != null) {
+            claims.close();
+        }
         // The future is not needed: the process ends, and nothing waits for the event loop's
         // thread.
         Future<?> unused = eventLoopGroup.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
--- a/src/main/java/tinroad/node/ListenerHandover.java
+++ b/src/main/java/tinroad/node/ListenerHandover.java
@@ -105,6 +105,13 @@
         }
     }
 
+    /**
+     * Whether this process is known to have outlived every older one; not so without a directory.
+     */
+    boolean isKnownAsOldest() {
+        return lockChannel != null;
+    }
+
     private static boolean tryLock(FileChannel channel) throws IOException {
         try {
             return channel.tryLock() != null;
--- a/src/main/java/tinroad/node/NodeShutdown.java
+++ b/src/main/java/tinroad/node/NodeShutdown.java
@@ -82,6 +82,12 @@
     private final StatePersistence persistence;
     private final CountDownLatch ended = new CountDownLatch(1);
 
+    /** Whether a newer process listens; accessed on the event loop, as the next one. */
+    private boolean replaced;
+
+    /** When the process ends at the latest, in Unix ms. */
+    private double exitAtMillis = Double.POSITIVE_INFINITY;
+
     NodeShutdown(
             GatewayConfig config,
             Clock clock,
@@ -121,12 +127,13 @@
      *
      * @param noticedAtMillis when the shutdown notice counts as sent, in Unix ms
      * @param replaced whether a newer process of this gateway listens; then this one ends as soon
-     *     as it has no request and no connection left, and the gateway stays in the service
-     *     registry
+     *     as it has no request and no connection left, and no run of a keyed request whose result
+     *     the other process may be asked for, and the gateway stays in the service registry
      */
     void begin(double noticedAtMillis, boolean replaced) {
         eventLoop.execute(
                 () -> {
+                    this.replaced = replaced;
                     if (replaced) {
                         LOG.info("replaced by another process");
                         gateway.markReplaced();
@@ -154,7 +161,7 @@
     }
 
     private void drain(double noticedAtMillis) {
-        double exitAtMillis =
+        exitAtMillis =
                 noticedAtMillis
                         + Math.max(
                                 0,
@@ -180,7 +187,7 @@
     }
 
     private void endOnceEmpty() {
-        if (gateway.allAnswered() && frontend.connections() == 0) {
+        if (gateway.allAnswered() && frontend.connections() == 0 && !awaitsRun()) {
             LOG.info("drained");
             persistence.save(gateway);
             ended.countDown();
@@ -188,4 +195,8 @@
             timers.after(EMPTY_POLL_MILLIS, this::endOnceEmpty);
         }
     }
+
+    private boolean awaitsRun() {
+        return replaced && clock.nowMillis() < exitAtMillis && gateway.hasKeyedRun();
+    }
 }
--- a/src/test/java/tinroad/cli/ConnectionRaceHarness.java
+++ b/src/test/java/tinroad/cli/ConnectionRaceHarness.java
@@ -150,7 +150,7 @@
         done(currentLink, job);
     }
 
-    private synchronized void done(Socket on, String job) throws IOException {
+    synchronized void done(Socket on, String job) throws IOException {
         send(
                 on,
                 "{\"type\":\"DONE\",\"n\":"
@@ -245,9 +245,13 @@
     }
 
     void signal(String name) throws Exception {
+        signal(gateway, name);
+    }
+
+    static void signal(Process process, String name) throws Exception {
         assertEquals(
                 0,
-                new ProcessBuilder("kill", "-" + name, Long.toString(gateway.pid()))
+                new ProcessBuilder("kill", "-" + name, Long.toString(process.pid()))
                         .start()
                         .waitFor());
     }
