Answer every whole request on a connection that is given up

Cause: the bound on partial requests was one for all connections, and whoever was read next once it was full paid. rejectConnection discarded all further input, but kept the connection open, in silence, until its last running request was answered.

PartialInputTest shows both causes apart.

Change: after each read the connections that hold most partial input are given up until all keep to the bound (PartialInputBudget). A connection that is given up is read on: what begins is refused with OVERLOADED, and the socket is read before the close. A request that is overdue fails alone if another one was completed on its connection meanwhile. The decoder can skip a partial record.

Why it works: a sound connection holds less than a bad one, so it is not chosen; and no path is left on which a record that can be read is dropped unanswered.

Checks changed: silentConnectionsAndPartialRequestsTimeOut expected a connection with a whole request to be closed for one overdue beside it, which is this fault; it now expects the rejection at the second one with none completed between. partialRequestsAreBoundedOverAllConnections filled the bound by reserveBytes, now by what took its place, to the same byte. Closes after a rejection are a task of their own, so the embedded channels run their tasks.

--- a/src/main/java/tinroad/fastcgi/ClientConnection.java
+++ b/src/main/java/tinroad/fastcgi/ClientConnection.java
@@ -27,7 +27,8 @@
  */
 @SuppressWarnings(
         "FutureReturnValueIgnored") // A failed write closes the channel, see channelInactive.
-final class ClientConnection extends SimpleChannelInboundHandler<ByteBuf> {
+final class ClientConnection extends SimpleChannelInboundHandler<ByteBuf>
+        implements RecordDecoder.Listener {
     /**
      * Upper bound of the open requests of one connection. Clients open at most 32, but requests
      * that they abandon without notice stay open until they are answered.
@@ -50,7 +51,7 @@
 
     private final FastCgiFrontend frontend;
     private final Gateway gateway;
-    private final RecordDecoder decoder;
+    private final RecordDecoder decoder = new RecordDecoder(this);
     private final IntObjectMap<PendingRequest> openRequests = new IntObjectHashMap<>();
     private final ConnectionUse usage = new ConnectionUse();
     private ChannelHandlerContext handlerContext;
@@ -68,19 +69,32 @@
 
     private boolean overdueInLastSweep;
 
-    /** Whether the client violated the protocol, so that further input is ignored. */
+    /** Whether a request was completed since the last one that was overdue. */
+    private boolean completedSinceOverdue;
+
+    /** Whether the connection was given up: no further request is accepted. */
     private boolean rejecting;
 
+    /** Whether further input is ignored, as it can't be read or is no request. */
+    private boolean discarding;
+
+    /** Bytes that are kept for input which is not complete. */
+    private int partialInputBytes;
+
     /** Started when the last response is written and the output shut down; input is discarded. */
     private final LingerTimer linger = new LingerTimer();
 
     /** Bytes since the last complete request that belong to no request. */
     private int strayBytes;
 
-    ClientConnection(FastCgiFrontend frontend, Gateway gateway, RecordDecoder decoder) {
+    ClientConnection(FastCgiFrontend frontend, Gateway gateway) {
         this.frontend = frontend;
         this.gateway = gateway;
-        this.decoder = decoder;
+    }
+
+    /** Returns the decoder of this connection's input, which precedes this handler. */
+    RecordDecoder decoder() {
+        return decoder;
     }
 
     @Override
@@ -117,6 +131,7 @@
     private void countStrayBytes(int bytes) {
         strayBytes += bytes;
         if (strayBytes > MAX_STRAY_BYTES) {
+            discardInput();
             rejectConnection();
         }
     }
@@ -131,22 +146,22 @@
 
     private void beginRequest(int id, ByteBuf content) {
         PendingRequest openRequest = openRequests.get(id);
-        if (openRequest != null) {
+        if (openRequest == null && closeWhenDone) {
+            // Each request that is written before the client sees the end gets an answer.
+            strayBytes = 0;
+            refuse(id, FastCgi.OVERLOADED);
+        } else if (openRequest != null) {
             // The id of an open request is ambiguous; the request in flight gets its one response.
             if (!openRequest.handedOver) {
                 rejectMalformed(openRequest);
             }
             rejectConnection();
-            return;
-        }
-        if (content.readableBytes() < FastCgi.BEGIN_REQUEST_BODY_BYTES
+        } else if (content.readableBytes() < FastCgi.BEGIN_REQUEST_BODY_BYTES
                 || content.getUnsignedShort(0) != FastCgi.RESPONDER) {
-            handlerContext.writeAndFlush(
-                    ResponseWriter.endOfRequest(handlerContext.alloc(), id, FastCgi.UNKNOWN_ROLE));
+            refuse(id, FastCgi.UNKNOWN_ROLE);
         } else if (openRequests.size() >= MAX_OPEN_REQUESTS) {
-            handlerContext.writeAndFlush(
-                    ResponseWriter.endOfRequest(handlerContext.alloc(), id, FastCgi.OVERLOADED));
-        } else if (!closeWhenDone) {
+            refuse(id, FastCgi.OVERLOADED);
+        } else {
             openRequests.put(
                     id,
                     new PendingRequest(
@@ -157,6 +172,11 @@
         }
     }
 
+    private void refuse(int id, int protocolStatus) {
+        handlerContext.writeAndFlush(
+                ResponseWriter.endOfRequest(handlerContext.alloc(), id, protocolStatus));
+    }
+
     private void appendToStream(int type, PendingRequest request, ByteBuf content) {
         boolean endOfStream = !content.isReadable();
         switch (type) {
@@ -181,6 +201,7 @@
 
     private void completeRequest(PendingRequest request) {
         strayBytes = 0;
+        completedSinceOverdue = true;
         RequestParameters parameters =
                 request.parametersComplete ? RequestParameters.read(request.parameters()) : null;
         if (parameters != null && parameters.isHealthCheck()) {
@@ -225,12 +246,25 @@
         }
     }
 
-    /**
-     * Adds to the bytes of partial requests, or subtracts; false if all connections together exceed
-     * the bound.
-     */
-    boolean reserveBytes(int bytes) {
-        return frontend.reserveBytes(bytes);
+    @Override
+    public void inputDecoded() {
+        frontend.limitPartialInput();
+    }
+
+    /** Adds to the bytes that are kept for input which is not complete, or subtracts. */
+    void holdPartialInput(int bytes) {
+        partialInputBytes += bytes;
+        frontend.holdPartialInput(bytes);
+    }
+
+    int partialInputBytes() {
+        return partialInputBytes;
+    }
+
+    /** Rejects the connection and releases what is kept for its partial input. */
+    void rejectPartialInput() {
+        rejectConnection();
+        decoder.skipPartialRecord();
     }
 
     /**
@@ -339,7 +373,7 @@
     void rejectOverdue(double nowMillis) {
         if (linger.lingering() && linger.expired(nowMillis, allSent())) {
             handlerContext.close();
-        } else if (rejecting || linger.lingering()) {
+        } else if (discarding) {
             handlerContext.read();
         }
         if (rejecting || linger.lingering()) {
@@ -351,16 +385,47 @@
             readPendingInput();
             overdue = isOverdueSince(nowMillis - frontend.requestTimeoutMillis());
             if (overdue) {
-                rejectConnection();
+                failOverdueSince(nowMillis - frontend.requestTimeoutMillis());
             }
         }
         overdueInLastSweep = overdue;
     }
 
+    /**
+     * Fails the requests that are incomplete since before this time. The connection stays if it has
+     * carried complete requests meanwhile, since other clients may share it; otherwise it is
+     * rejected.
+     */
+    private void failOverdueSince(double beforeMillis) {
+        if (!completedSinceOverdue) {
+            rejectConnection();
+            return;
+        }
+        completedSinceOverdue = false;
+        if (isPartialRecordOverdueSince(beforeMillis)) {
+            failIncomplete(openRequests.get(decoder.partialRecordId()));
+            decoder.skipPartialRecord();
+        }
+        for (PendingRequest request : List.copyOf(openRequests.values())) {
+            if (request.startedAtMillis < beforeMillis) {
+                failIncomplete(request);
+            }
+        }
+    }
+
+    private void failIncomplete(PendingRequest request) {
+        if (request != null && !request.handedOver) {
+            respond(request, Response.invalid());
+        }
+    }
+
+    private boolean isPartialRecordOverdueSince(double beforeMillis) {
+        return decoder.midRecord() && partialSinceMillis < beforeMillis;
+    }
+
     /** Whether the first request, or one that has begun, is incomplete since before this time. */
     private boolean isOverdueSince(double beforeMillis) {
-        if (usage.silentSince(beforeMillis)
-                || (decoder.midRecord() && partialSinceMillis < beforeMillis)) {
+        if (usage.silentSince(beforeMillis) || isPartialRecordOverdueSince(beforeMillis)) {
             return true;
         }
         for (PendingRequest request : openRequests.values()) {
@@ -393,25 +458,42 @@
     }
 
     /**
-     * Rejects a connection whose client violates the protocol: complete requests are still
-     * answered, partial ones fail, further input is ignored, and the connection closes after the
-     * last response.
+     * Gives the connection up: complete requests are still answered, partial ones fail, further
+     * ones are refused, and the connection closes after the last response.
      */
     private void rejectConnection() {
         if (!rejecting) {
             rejecting = true;
             closeWhenDone = true;
-            decoder.discardInput();
-            handlerContext.channel().config().setAutoRead(false);
+            decoder.skipPartialRecord();
             for (PendingRequest request : List.copyOf(openRequests.values())) {
-                if (!request.handedOver) {
-                    respond(request, Response.invalid());
-                }
+                failIncomplete(request);
             }
             closeIfDone();
         }
     }
 
+    /** Ignores all further input; it is still read, slowly, to notice the end of the connection. */
+    private void discardInput() {
+        discarding = true;
+        decoder.discardInput();
+        handlerContext.channel().config().setAutoRead(false);
+    }
+
+    /**
+     * Closes a rejected connection that has no open request. What its client wrote before is read
+     * first, because every complete request gets an answer, and no request that is refused here was
+     * written when the client could know of the end.
+     */
+    private void closeRejected() {
+        if (handlerContext.channel().isActive() && !linger.lingering()) {
+            readPendingInput();
+            if (openRequests.isEmpty()) {
+                closeGracefully();
+            }
+        }
+    }
+
     /**
      * Begins to close the connection after the last response. A close with unread input causes a
      * reset, which could destroy the response before the client reads it. Therefore the output is
@@ -421,11 +503,18 @@
         if (!closeWhenDone || !openRequests.isEmpty() || linger.lingering()) {
             return;
         }
+        if (rejecting && !discarding) {
+            handlerContext.executor().execute(this::closeRejected);
+        } else {
+            closeGracefully();
+        }
+    }
+
+    private void closeGracefully() {
         linger.start(frontend.nowMillis());
         ChannelFuture flushed = handlerContext.writeAndFlush(Unpooled.EMPTY_BUFFER);
         if (handlerContext.channel() instanceof DuplexChannel duplex && !duplex.isInputShutdown()) {
-            decoder.discardInput();
-            handlerContext.channel().config().setAutoRead(false);
+            discardInput();
             flushed.addListener(future -> duplex.shutdownOutput());
         } else {
             flushed.addListener(ChannelFutureListener.CLOSE);
@@ -441,6 +530,7 @@
             }
             rejectConnection();
         } else if (event == RecordDecoder.FRAMING_LOST) {
+            discardInput();
             rejectConnection();
         } else if (event instanceof ChannelInputShutdownEvent) {
             inputEnded();
@@ -457,6 +547,7 @@
             return;
         }
         cancelAll();
+        discardInput();
         rejectConnection();
     }
 
@@ -473,9 +564,7 @@
      */
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext context) {
-        context.channel()
-                .config()
-                .setAutoRead(context.channel().isWritable() && !rejecting && !linger.lingering());
+        context.channel().config().setAutoRead(context.channel().isWritable() && !discarding);
     }
 
     /** Cancels the queued requests of a closed connection, whose responses nobody could read. */
--- a/src/main/java/tinroad/fastcgi/FastCgiFrontend.java
+++ b/src/main/java/tinroad/fastcgi/FastCgiFrontend.java
@@ -20,6 +20,7 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.net.StandardSocketOptions;
+import java.util.Comparator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
@@ -33,7 +34,7 @@
 
 /**
  * Manages the listener and the connections of the client proxies: closes idle connections, evicts
- * connections above the bound, limits the memory of partial requests, and closes everything
+ * connections above the bound, limits the memory of partial input, and closes everything
  * gracefully. Owned by the event loop.
  */
 @SuppressWarnings(
@@ -73,12 +74,12 @@
     static final double MAX_LINGER_MILLIS = 10_000;
 
     /**
-     * Upper bound of the bytes of all partial requests together; the bound is lower if their share
-     * of the memory is less than this.
+     * Upper bound of the bytes of all partial input together; the bound is lower if its share of
+     * the memory is less than this.
      */
     static final int MAX_PARTIAL_BYTES = 16 * 1024 * 1024;
 
-    /** All partial requests together may take this fraction (1/8) of the memory. */
+    /** All partial input together may take this fraction (1/8) of the memory. */
     private static final int PARTIAL_MEMORY_DIVISOR = 8;
 
     private static final int ACCEPT_BACKLOG = 1024;
@@ -103,7 +104,7 @@
     private final int maxConnectionsAlone;
     private final int maxConnectionsShared;
     private int maxConnections;
-    private final long maxPartialBytes;
+    private final PartialInputBudget partialInput;
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
     private Channel listener;
     private double idleTimeoutMillis;
@@ -117,8 +118,7 @@
 
     private boolean acceptFailureLogged;
 
-    /** Bytes of all partial requests. */
-    private int partialBytes;
+    private boolean partialInputExceeded;
 
     /**
      * Creates the frontend of {@code gateway}.
@@ -132,10 +132,11 @@
         this.maxConnectionsAlone = Math.max(1, sockets - RESERVED_DESCRIPTORS);
         this.maxConnectionsShared = Math.max(1, (sockets - RESERVED_DESCRIPTORS) / 2);
         this.maxConnections = maxConnectionsAlone;
-        this.maxPartialBytes =
-                Math.min(
-                        MAX_PARTIAL_BYTES,
-                        (long) (memoryMb * 1024 * 1024 / PARTIAL_MEMORY_DIVISOR));
+        this.partialInput =
+                new PartialInputBudget(
+                        Math.min(
+                                MAX_PARTIAL_BYTES,
+                                (long) (memoryMb * 1024 * 1024 / PARTIAL_MEMORY_DIVISOR)));
     }
 
     /** Starts to listen on the event loop that owns the gateway. */
@@ -193,13 +194,14 @@
 
     /** Creates the channel handlers of one connection of a client proxy. */
     public ChannelHandler[] handlers() {
-        RecordDecoder decoder = new RecordDecoder();
-        return new ChannelHandler[] {decoder, new ClientConnection(this, gateway, decoder)};
+        ClientConnection connection = new ClientConnection(this, gateway);
+        return new ChannelHandler[] {connection.decoder(), connection};
     }
 
     /** Goes over all connections and closes idle ones and those that do not complete a request. */
     public void sweep() {
         double nowMillis = clock.nowMillis();
+        partialInputExceeded &= partialInput.heldBytes() > partialInput.maxBytes() / 2;
         double idleMillis =
                 draining ? 0 : idleTimeoutMillis > 0 ? idleTimeoutMillis : Double.MAX_VALUE;
         for (ClientConnection connection : List.copyOf(connections)) {
@@ -307,13 +309,34 @@
         }
     }
 
+    /** Adds to the bytes of partial input, or subtracts if negative. */
+    void holdPartialInput(int bytes) {
+        partialInput.add(bytes);
+    }
+
     /**
-     * Adds to the bytes of partial requests, or subtracts if negative; false if they exceed the
-     * bound.
+     * Rejects the connections that hold most partial input until all of them together keep to the
+     * bound. It is called after each read, so that a client which fills the bound pays itself, and
+     * not the one that is read next.
      */
-    boolean reserveBytes(int bytes) {
-        partialBytes += bytes;
-        return partialBytes <= maxPartialBytes;
+    void limitPartialInput() {
+        for (int i = connections.size(); i > 0 && partialInput.isExceeded(); i--) {
+            logPartialInputExceeded();
+            connections.stream()
+                    .max(Comparator.comparingInt(ClientConnection::partialInputBytes))
+                    .ifPresent(ClientConnection::rejectPartialInput);
+        }
+    }
+
+    /** Logs when the bound is exceeded for the first time since half of it was free. */
+    private void logPartialInputExceeded() {
+        if (!partialInputExceeded) {
+            partialInputExceeded = true;
+            LOG.warn(
+                    "partial requests exceed {} bytes: rejecting the connections with most of"
+                            + " them",
+                    partialInput.maxBytes());
+        }
     }
 
     double nowMillis() {
--- a/src/main/java/tinroad/fastcgi/PendingRequest.java
+++ b/src/main/java/tinroad/fastcgi/PendingRequest.java
@@ -8,6 +8,9 @@
 
 /** A request on a connection, from BEGIN_REQUEST to its response. */
 final class PendingRequest implements ResponseSink {
+    /** Memory that a begun request takes besides its parameters and its body, roughly. */
+    static final int BASE_BYTES = 256;
+
     /** A request with longer parameters is malformed. */
     static final int MAX_PARAMETER_BYTES = 16 * 1024;
 
@@ -33,26 +36,35 @@
     private StreamBytes parameters = StreamBytes.EMPTY;
     private StreamBytes body = StreamBytes.EMPTY;
 
+    /** Bytes that are counted as partial input. */
+    private int heldBytes;
+
     PendingRequest(
             ClientConnection connection, int id, double startedAtMillis, boolean keepConnection) {
         this.connection = connection;
         this.id = id;
         this.startedAtMillis = startedAtMillis;
         this.keepConnection = keepConnection;
+        hold(BASE_BYTES);
+    }
+
+    private void hold(int bytes) {
+        heldBytes += bytes;
+        connection.holdPartialInput(bytes);
     }
 
     /** Appends to the parameters; false if they exceed their bound. */
     boolean appendParameters(ByteBuf content) {
         parameters = parameters.append(content);
-        return connection.reserveBytes(content.readableBytes())
-                && parameters.bytes.readableBytes() <= MAX_PARAMETER_BYTES;
+        hold(content.readableBytes());
+        return parameters.bytes.readableBytes() <= MAX_PARAMETER_BYTES;
     }
 
     /** Appends to the body; false if it exceeds its bound. */
     boolean appendBody(ByteBuf content) {
         body = body.append(content);
-        return connection.reserveBytes(content.readableBytes())
-                && body.bytes.readableBytes() <= MAX_BODY_BYTES;
+        hold(content.readableBytes());
+        return body.bytes.readableBytes() <= MAX_BODY_BYTES;
     }
 
     ByteBuf parameters() {
@@ -74,7 +86,7 @@
     /** Releases the parameters and the body, which are not needed while the response is pending. */
     void handOver() {
         handedOver = true;
-        connection.reserveBytes(-parameters.bytes.readableBytes() - body.bytes.readableBytes());
+        hold(-heldBytes);
         parameters.release();
         body.release();
         parameters = StreamBytes.EMPTY;
--- a/src/main/java/tinroad/fastcgi/RecordDecoder.java
+++ b/src/main/java/tinroad/fastcgi/RecordDecoder.java
@@ -2,18 +2,17 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
-import io.netty.handler.codec.TooLongFrameException;
-import io.netty.util.ReferenceCountUtil;
-import java.nio.ByteOrder;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 
 /**
- * Splits the input into FastCGI records, including header and padding, as slices of the read
- * buffer. A record of another protocol version means that the framing is lost: {@link
- * #FRAMING_LOST} is fired after all records before it, and all further input is discarded. A record
- * that is too long is skipped, and {@link TooLong} is fired.
+ * Splits the input into FastCGI records, including header and padding. Complete records are slices
+ * of the read buffer; a partial record is copied.
+ *
+ * <p>A record of another protocol version means that the framing is lost: {@link #FRAMING_LOST} is
+ * fired after all records before it, and all further input is discarded. A record that is too long
+ * is skipped, and {@link TooLong} is fired.
  */
-final class RecordDecoder extends LengthFieldBasedFrameDecoder {
+final class RecordDecoder extends ChannelInboundHandlerAdapter {
     /** The user event that is fired when the framing is lost. */
     static final Object FRAMING_LOST = new Object();
 
@@ -24,73 +23,168 @@
     static final int MAX_CONTENT_BYTES = 16 * 1024;
 
     private static final int ID_OFFSET = 2;
-    private static final int LENGTH_OFFSET = 4;
+    private static final int CONTENT_LENGTH_OFFSET = 4;
+    private static final int PADDING_LENGTH_OFFSET = 6;
+    private static final int MAX_PADDING_BYTES = 255;
+    private static final int MAX_RECORD_BYTES =
+            FastCgi.HEADER_BYTES + MAX_CONTENT_BYTES + MAX_PADDING_BYTES;
 
-    /**
-     * Size of the content length, the padding length and a reserved byte. They are read together,
-     * so that the header is complete when the length is known.
-     */
-    private static final int LENGTH_SIZE = 4;
+    /** The user event that is fired when a record was skipped because it is too long. */
+    record TooLong(int recordId) {}
 
-    private static final int PADDING_OFFSET = 6;
-    private static final int MAX_PADDING_BYTES = 255;
+    /** Is notified of what the decoder does. */
+    interface Listener {
+        /** Called when all input that was read has been decoded. */
+        void inputDecoded();
+    }
 
-    /** Whether all further input is discarded. */
-    private boolean framingLost;
+    private final Listener listener;
 
-    /** Request id in the header of the latest record. */
-    private int recordId;
+    /** The partial record on the heap; null if there is none. */
+    private ByteBuf partialRecord;
 
-    /** The user event that is fired when a record was skipped because it is too long. */
-    record TooLong(int recordId) {}
+    /** Bytes of the current record that are still to be skipped. */
+    private int bytesToSkip;
+
+    /** Whether all further input is discarded. */
+    private boolean discarding;
 
-    RecordDecoder() {
-        super(
-                FastCgi.HEADER_BYTES + MAX_CONTENT_BYTES + MAX_PADDING_BYTES,
-                LENGTH_OFFSET,
-                LENGTH_SIZE,
-                0,
-                0);
+    RecordDecoder(Listener listener) {
+        this.listener = listener;
     }
 
     @Override
-    protected Object decode(ChannelHandlerContext ctx, ByteBuf in) throws Exception {
-        if (framingLost) {
-            in.skipBytes(in.readableBytes());
-            return null;
-        }
-        Object record = null;
+    public void channelRead(ChannelHandlerContext context, Object message) {
+        ByteBuf in = (ByteBuf) message;
         try {
-            record = super.decode(ctx, in);
-        } catch (TooLongFrameException e) {
-            ctx.fireUserEventTriggered(new TooLong(recordId));
+            while (in.isReadable() && !discarding) {
+                decode(context, in);
+            }
+        } finally {
+            in.release();
         }
-        if (framingLost) {
-            ReferenceCountUtil.release(record);
-            ctx.fireUserEventTriggered(FRAMING_LOST);
-            return null;
+        listener.inputDecoded();
+    }
+
+    /** Consumes at least one byte. */
+    private void decode(ChannelHandlerContext context, ByteBuf in) {
+        if (bytesToSkip > 0) {
+            int skipped = Math.min(bytesToSkip, in.readableBytes());
+            bytesToSkip -= skipped;
+            in.skipBytes(skipped);
+        } else if (partialRecord != null) {
+            completePartialRecord(context, in);
+        } else if (in.readableBytes() < FastCgi.HEADER_BYTES) {
+            beginPartialRecord(context, in);
+        } else if (checkHeader(context, in)) {
+            int recordBytes = recordBytes(in);
+            if (in.readableBytes() >= recordBytes) {
+                context.fireChannelRead(in.readRetainedSlice(recordBytes));
+            } else {
+                beginPartialRecord(context, in);
+            }
         }
-        return record;
     }
 
-    /** Called once for each record, when its header is complete. */
-    @Override
-    protected long getUnadjustedFrameLength(ByteBuf buf, int offset, int length, ByteOrder order) {
-        framingLost |= buf.getByte(offset - LENGTH_OFFSET) != FastCgi.VERSION;
-        recordId = buf.getUnsignedShort(offset - LENGTH_OFFSET + ID_OFFSET);
-        return framingLost
-                ? 0
-                : buf.getUnsignedShort(offset)
-                        + (long) buf.getUnsignedByte(offset + PADDING_OFFSET - LENGTH_OFFSET);
+    private void beginPartialRecord(ChannelHandlerContext context, ByteBuf in) {
+        partialRecord = context.alloc().buffer(in.readableBytes(), MAX_RECORD_BYTES);
+        append(in, in.readableBytes());
+    }
+
+    /** Appends to the partial record, and passes it on if it is complete. */
+    private void completePartialRecord(ChannelHandlerContext context, ByteBuf in) {
+        if (partialRecord.readableBytes() < FastCgi.HEADER_BYTES) {
+            append(in, FastCgi.HEADER_BYTES - partialRecord.readableBytes());
+            if (partialRecord.readableBytes() < FastCgi.HEADER_BYTES
+                    || !checkHeader(context, partialRecord)) {
+                return;
+            }
+        }
+        append(in, recordBytes(partialRecord) - partialRecord.readableBytes());
+        if (partialRecord.readableBytes() == recordBytes(partialRecord)) {
+            ByteBuf record = partialRecord;
+            partialRecord = null;
+            context.fireChannelRead(record);
+        }
+    }
+
+    private void append(ByteBuf in, int missingBytes) {
+        partialRecord.writeBytes(in, Math.min(missingBytes, in.readableBytes()));
+    }
+
+    /** Returns whether the header begins a record that is decoded; otherwise consumes it. */
+    private boolean checkHeader(ChannelHandlerContext context, ByteBuf header) {
+        if (header.getByte(header.readerIndex()) != FastCgi.VERSION) {
+            discardInput();
+            context.fireUserEventTriggered(FRAMING_LOST);
+            return false;
+        }
+        if (recordBytes(header) > MAX_RECORD_BYTES) {
+            int recordId = recordId(header);
+            int consumedBytes = partialRecord == null ? 0 : partialRecord.readableBytes();
+            bytesToSkip = recordBytes(header) - consumedBytes;
+            releasePartialRecord();
+            context.fireUserEventTriggered(new TooLong(recordId));
+            return false;
+        }
+        return true;
+    }
+
+    private static int recordBytes(ByteBuf header) {
+        return FastCgi.HEADER_BYTES
+                + header.getUnsignedShort(header.readerIndex() + CONTENT_LENGTH_OFFSET)
+                + header.getUnsignedByte(header.readerIndex() + PADDING_LENGTH_OFFSET);
+    }
+
+    private static int recordId(ByteBuf header) {
+        return header.getUnsignedShort(header.readerIndex() + ID_OFFSET);
     }
 
     /** Discards all further input. */
     void discardInput() {
-        framingLost = true;
+        discarding = true;
+        releasePartialRecord();
     }
 
-    /** Whether part of a record has arrived. */
+    /** Whether part of a record has arrived that is not skipped. */
     boolean midRecord() {
-        return actualReadableBytes() > 0;
+        return partialRecord != null;
+    }
+
+    /** The request id of the partial record; 0 if its header is not complete. */
+    int partialRecordId() {
+        return partialRecord == null || partialRecord.readableBytes() < FastCgi.HEADER_BYTES
+                ? 0
+                : recordId(partialRecord);
+    }
+
+    /**
+     * Releases the partial record and skips the rest of it. Without its header its length is not
+     * known, so that a few bytes are kept.
+     */
+    void skipPartialRecord() {
+        if (partialRecord != null && partialRecord.readableBytes() >= FastCgi.HEADER_BYTES) {
+            bytesToSkip = recordBytes(partialRecord) - partialRecord.readableBytes();
+            releasePartialRecord();
+        }
+    }
+
+    private void releasePartialRecord() {
+        if (partialRecord != null) {
+            ByteBuf released = partialRecord;
+            partialRecord = null;
+            released.release();
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        releasePartialRecord();
+        context.fireChannelInactive();
+    }
+
+    @Override
+    public void handlerRemoved(ChannelHandlerContext context) {
+        releasePartialRecord();
     }
 }
