Keep partial records on the heap and count them in the bound

Change: a partial record is copied into a heap buffer that grows with it, the read buffer is released at once, and the capacity counts as partial input of its connection.

Why it works: direct memory no longer grows with the number of clients that write half a record, and their heap is bounded; whoever holds most pays.

--- a/src/main/java/tinroad/fastcgi/ClientConnection.java
+++ b/src/main/java/tinroad/fastcgi/ClientConnection.java
@@ -246,6 +246,11 @@
         }
     }
 
+    @Override
+    public void bufferResized(int addedBytes) {
+        holdPartialInput(addedBytes);
+    }
+
     @Override
     public void inputDecoded() {
         frontend.limitPartialInput();
--- a/src/main/java/tinroad/fastcgi/RecordDecoder.java
+++ b/src/main/java/tinroad/fastcgi/RecordDecoder.java
@@ -1,12 +1,14 @@
 package tinroad.fastcgi;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 
 /**
  * Splits the input into FastCGI records, including header and padding. Complete records are slices
- * of the read buffer; a partial record is copied.
+ * of the read buffer. A partial record is copied to the heap, so that it keeps no read buffer
+ * alive: those are direct memory, of which there is little, and may be far larger than the record.
  *
  * <p>A record of another protocol version means that the framing is lost: {@link #FRAMING_LOST} is
  * fired after all records before it, and all further input is discarded. A record that is too long
@@ -34,6 +36,9 @@
 
     /** Is notified of what the decoder does. */
     interface Listener {
+        /** Called when the size of the buffer of the partial record has changed. */
+        void bufferResized(int addedBytes);
+
         /** Called when all input that was read has been decoded. */
         void inputDecoded();
     }
@@ -75,20 +80,21 @@
         } else if (partialRecord != null) {
             completePartialRecord(context, in);
         } else if (in.readableBytes() < FastCgi.HEADER_BYTES) {
-            beginPartialRecord(context, in);
+            beginPartialRecord(in, in.readableBytes());
         } else if (checkHeader(context, in)) {
             int recordBytes = recordBytes(in);
             if (in.readableBytes() >= recordBytes) {
                 context.fireChannelRead(in.readRetainedSlice(recordBytes));
             } else {
-                beginPartialRecord(context, in);
+                beginPartialRecord(in, in.readableBytes());
             }
         }
     }
 
-    private void beginPartialRecord(ChannelHandlerContext context, ByteBuf in) {
-        partialRecord = context.alloc().buffer(in.readableBytes(), MAX_RECORD_BYTES);
-        append(in, in.readableBytes());
+    private void beginPartialRecord(ByteBuf in, int length) {
+        partialRecord = Unpooled.buffer(length, MAX_RECORD_BYTES);
+        listener.bufferResized(partialRecord.capacity());
+        append(in, length);
     }
 
     /** Appends to the partial record, and passes it on if it is complete. */
@@ -104,12 +110,15 @@
         if (partialRecord.readableBytes() == recordBytes(partialRecord)) {
             ByteBuf record = partialRecord;
             partialRecord = null;
+            listener.bufferResized(-record.capacity());
             context.fireChannelRead(record);
         }
     }
 
     private void append(ByteBuf in, int missingBytes) {
+        int capacityBefore = partialRecord.capacity();
         partialRecord.writeBytes(in, Math.min(missingBytes, in.readableBytes()));
+        listener.bufferResized(partialRecord.capacity() - capacityBefore);
     }
 
     /** Returns whether the header begins a record that is decoded; otherwise consumes it. */
@@ -173,6 +182,7 @@
         if (partialRecord != null) {
             ByteBuf released = partialRecord;
             partialRecord = null;
+            listener.bufferResized(-released.capacity());
             released.release();
         }
     }
--- a/src/test/java/tinroad/fastcgi/PartialInputTest.java
+++ b/src/test/java/tinroad/fastcgi/PartialInputTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
 import java.nio.charset.StandardCharsets;
@@ -121,6 +122,43 @@
         assertTrue(rejected >= 1 && rejected <= 2, rejected + " of the bad ones rejected");
     }
 
+    /** Guards against begun requests and partial records that no bound counts. */
+    @Test
+    void begunRequestsAndPartialRecordsCountInTheBound() {
+        byte[] begins =
+                Cuts.join(
+                        IntStream.rangeClosed(1, 60)
+                                .mapToObj(i -> Records.beginRequest(i, 1, 1))
+                                .toArray(byte[][]::new));
+        byte[] part = Arrays.copyOf(Records.record(4, 1, LONG_STREAM, 0), LONG_STREAM.length);
+        List<EmbeddedChannel> bad = new ArrayList<>();
+        for (int i = 0; i < 900; i++) {
+            bad.add(connect());
+            write(bad.get(i), begins, part);
+        }
+        bad.forEach(EmbeddedChannel::runPendingTasks);
+        long open = bad.stream().filter(EmbeddedChannel::isOpen).count();
+        int bytesEach = 60 * PendingRequest.BASE_BYTES + part.length;
+        assertTrue(open * bytesEach <= FastCgiFrontend.MAX_PARTIAL_BYTES, open + " open");
+        assertTrue(open * bytesEach > FastCgiFrontend.MAX_PARTIAL_BYTES / 2, open + " open");
+    }
+
+    /** Guards against partial records that keep read buffers, and fill the direct memory. */
+    @Test
+    void partialRecordsKeepNoReadBuffer() {
+        byte[] request = completeRequest(1);
+        EmbeddedChannel channel = connect();
+        List<ByteBuf> buffers = new ArrayList<>();
+        for (byte octet : request) {
+            ByteBuf buffer = Unpooled.directBuffer(64 * 1024).writeByte(octet);
+            buffers.add(buffer);
+            channel.writeInbound(buffer);
+            assertEquals(0, buffer.refCnt(), "after " + buffers.size() + " bytes");
+        }
+        completeRun(1);
+        assertEquals(List.of("1: " + SERVED + "r1"), responses(channel));
+    }
+
     /** Guards against complete requests that are discarded on a connection that is given up. */
     @Test
     void everyCompleteRequestOnARejectedConnectionGetsAnAnswer() {
