Bound the unread responses of all connections together

Change: when a connection becomes unwritable, the connections with most unread responses are closed until the sum keeps to 8 MiB.

Not shown: an event loop that stopped for it.

--- a/src/main/java/tinroad/fastcgi/ClientConnection.java
+++ b/src/main/java/tinroad/fastcgi/ClientConnection.java
@@ -344,6 +344,12 @@
         return openRequests.isEmpty() && !decoder.midRecord() && allSent();
     }
 
+    /** Returns the bytes of responses that the client has not taken yet. */
+    long unsentBytes() {
+        ChannelOutboundBuffer unsent = handlerContext.channel().unsafe().outboundBuffer();
+        return unsent == null ? 0 : unsent.totalPendingWriteBytes();
+    }
+
     private boolean allSent() {
         ChannelOutboundBuffer unsent = handlerContext.channel().unsafe().outboundBuffer();
         return unsent == null || unsent.isEmpty();
@@ -570,6 +576,9 @@
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext context) {
         context.channel().config().setAutoRead(context.channel().isWritable() && !discarding);
+        if (!context.channel().isWritable()) {
+            frontend.limitUnsentResponses();
+        }
     }
 
     /** Cancels the queued requests of a closed connection, whose responses nobody could read. */
--- a/src/main/java/tinroad/fastcgi/FastCgiFrontend.java
+++ b/src/main/java/tinroad/fastcgi/FastCgiFrontend.java
@@ -20,6 +20,7 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.net.StandardSocketOptions;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -82,6 +83,12 @@
     /** All partial input together may take this fraction (1/8) of the memory. */
     private static final int PARTIAL_MEMORY_DIVISOR = 8;
 
+    /**
+     * Upper bound of the unsent responses of all connections together, in direct memory. An
+     * allocation beyond the limit on direct memory would stop the event loop before it fails.
+     */
+    static final long MAX_UNSENT_BYTES = 8 * 1024 * 1024;
+
     private static final int ACCEPT_BACKLOG = 1024;
     private static final int EVICTIONS_AFTER_ACCEPT_FAILURE = 16;
 
@@ -328,6 +335,22 @@
         }
     }
 
+    /**
+     * Closes the connections with most unsent responses until all of them together keep to the
+     * bound: their clients do not read.
+     */
+    void limitUnsentResponses() {
+        long unsentBytes = connections.stream().mapToLong(ClientConnection::unsentBytes).sum();
+        for (int i = connections.size(); i > 0 && unsentBytes > MAX_UNSENT_BYTES; i--) {
+            ClientConnection most =
+                    Collections.max(
+                            connections, Comparator.comparingLong(ClientConnection::unsentBytes));
+            unsentBytes -= most.unsentBytes();
+            LOG.debug("closing a connection with {} bytes unread", most.unsentBytes());
+            most.evict();
+        }
+    }
+
     /** Logs when the bound is exceeded for the first time since half of it was free. */
     private void logPartialInputExceeded() {
         if (!partialInputExceeded) {
--- a/src/test/java/tinroad/fastcgi/FrontendRaceTest.java
+++ b/src/test/java/tinroad/fastcgi/FrontendRaceTest.java
@@ -437,6 +437,38 @@
         }
     }
 
+    /** Guards against unread responses that fill the direct memory, and stop the event loop. */
+    @Test
+    void unreadResponsesOfAllConnectionsTogetherAreBounded() throws Exception {
+        GatewayHarness slowHarness = GatewayHarness.started();
+        FastCgiFrontend slowFrontend =
+                new FastCgiFrontend(slowHarness, slowHarness.gateway, 1024, 192);
+        SlowChannel reads = new SlowChannel(slowFrontend);
+        reads.register();
+        byte[] healthCheck = Records.completeRequest(1, Map.of("SCRIPT_NAME", "/healthz"), "");
+        reads.writeInbound(Unpooled.wrappedBuffer(healthCheck));
+        byte[][] many = new byte[1000][];
+        Arrays.fill(many, healthCheck);
+        byte[] burst = Cuts.join(many);
+        List<SlowChannel> silent = new ArrayList<>();
+        for (int i = 0; i < 200; i++) {
+            silent.add(new SlowChannel(slowFrontend));
+            silent.get(i).register();
+            silent.get(i).writeInbound(Unpooled.wrappedBuffer(burst));
+        }
+        long unsent =
+                silent.stream()
+                        .filter(EmbeddedChannel::isOpen)
+                        .mapToLong(
+                                channel ->
+                                        channel.unsafe().outboundBuffer().totalPendingWriteBytes())
+                        .sum();
+        assertTrue(
+                unsent > 0 && unsent <= FastCgiFrontend.MAX_UNSENT_BYTES + 1024 * 1024,
+                unsent + " bytes");
+        assertTrue(reads.isOpen(), "it holds one response");
+    }
+
     @Test
     void theLastAnswersOfACallerThatReadsVerySlowlyOutliveTheEndOfItsConnection() throws Exception {
         GatewayHarness slowHarness = GatewayHarness.started();
