Move the assembly of requests out of ClientConnection

Change: RequestAssembler reads records and makes requests of them; ClientConnection keeps the channel, the responses and the ends. A request that carries a token in a class that is not keyed is taken for keyed only if a run of that token is known, not where a lock of the shared claims is taken for a moment.

--- a/src/main/java/tinroad/core/IdempotencyTable.java
+++ b/src/main/java/tinroad/core/IdempotencyTable.java
@@ -231,8 +231,8 @@
     }
 
     /**
-     * Returns whether a run was submitted for the request with this key, and no attempt of it may
-     * run again yet; false for null.
+     * Returns whether a run is known to be submitted for the request with this key, here or in
+     * another process, and no attempt of it may run again yet; false for null.
      */
     boolean isRunSubmitted(String idempotencyKey, double nowMillis) {
         if (idempotencyKey == null) {
@@ -240,7 +240,7 @@
         }
         Entry entry = keyedEntries.get(idempotencyKey);
         return (entry != null && entry.runSubmitted)
-                || claims.find(idempotencyKey, nowMillis).state() != RunClaims.Lookup.State.NONE;
+                || claims.find(idempotencyKey, nowMillis).run() != null;
     }
 
     /**
--- a/src/main/java/tinroad/fastcgi/ClientConnection.java
+++ b/src/main/java/tinroad/fastcgi/ClientConnection.java
@@ -1,6 +1,7 @@
 package tinroad.fastcgi;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
@@ -17,27 +18,17 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import tinroad.core.Gateway;
-import tinroad.core.IncomingRequest;
 import tinroad.core.Response;
 
 /**
- * Handles one connection of a client proxy: assembles requests from FastCGI records, hands them to
- * the gateway and writes the responses. Owned by the event loop. Does not use a request's priority
- * or deadline.
+ * Handles one connection of a client proxy from its start to its end: passes its records to {@link
+ * RequestAssembler}, writes the responses, and decides when the connection closes. Owned by the
+ * event loop. Does not use a request's priority or deadline.
  */
 @SuppressWarnings(
         "FutureReturnValueIgnored") // A failed write closes the channel, see channelInactive.
 final class ClientConnection extends SimpleChannelInboundHandler<ByteBuf>
         implements RecordDecoder.Listener {
-    /**
-     * Upper bound of the open requests of one connection. Clients open at most 32, but requests
-     * that they abandon without notice stay open until they are answered.
-     */
-    static final int MAX_OPEN_REQUESTS = 64;
-
-    /** Upper bound of the bytes outside of requests; stops clients that send them without end. */
-    static final int MAX_STRAY_BYTES = 64 * 1024;
-
     /**
      * The order in which connections are evicted: first those that linger, then those that carried
      * no request, then the one that has been unused for longest.
@@ -54,6 +45,7 @@
     private final RecordDecoder decoder = new RecordDecoder(this);
     private final IntObjectMap<PendingRequest> openRequests = new IntObjectHashMap<>();
     private final ConnectionUse usage = new ConnectionUse();
+    private final RequestAssembler assembler;
     private ChannelHandlerContext handlerContext;
     private boolean closeWhenDone;
     private boolean idleInLastSweep;
@@ -69,8 +61,8 @@
 
     private boolean overdueInLastSweep;
 
-    /** Whether a request was completed since the last one that was overdue. */
-    private boolean completedSinceOverdue;
+    /** Number of requests that were completed when one was overdue last. */
+    private int completedAtOverdue;
 
     /** Whether the connection was given up: no further request is accepted. */
     private boolean rejecting;
@@ -84,12 +76,10 @@
     /** Started when the last response is written and the output shut down; input is discarded. */
     private final LingerTimer linger = new LingerTimer();
 
-    /** Bytes since the last complete request that belong to no request. */
-    private int strayBytes;
-
     ClientConnection(FastCgiFrontend frontend, Gateway gateway) {
         this.frontend = frontend;
         this.gateway = gateway;
+        assembler = new RequestAssembler(this, frontend, gateway, openRequests, usage);
     }
 
     /** Returns the decoder of this connection's input, which precedes this handler. */
@@ -108,132 +98,21 @@
     @Override
     protected void channelRead0(ChannelHandlerContext context, ByteBuf record) {
         recordsRead++;
-        int type = record.getUnsignedByte(1);
-        int id = record.getUnsignedShort(2);
-        ByteBuf content = record.slice(FastCgi.HEADER_BYTES, record.getUnsignedShort(4));
-        if (id == 0) {
-            handleManagementRecord(type, content);
-        } else if (type == FastCgi.BEGIN_REQUEST) {
-            beginRequest(id, content);
-        } else {
-            PendingRequest request = openRequests.get(id);
-            // FastCGI requires that records without an open request, or after its end, are ignored.
-            if (request != null && !request.handedOver) {
-                appendToStream(type, request, content);
-            } else if (request != null && type == FastCgi.ABORT_REQUEST) {
-                gateway.cancel(request.requestId, request);
-            } else {
-                countStrayBytes(record.readableBytes());
-            }
-        }
+        assembler.read(record);
     }
 
-    private void countStrayBytes(int bytes) {
-        strayBytes += bytes;
-        if (strayBytes > MAX_STRAY_BYTES) {
-            discardInput();
-            rejectConnection();
-        }
-    }
-
-    private void handleManagementRecord(int type, ByteBuf content) {
-        countStrayBytes(content.readableBytes());
-        ByteBuf reply =
-                ManagementRecords.reply(
-                        handlerContext.alloc(), type, content, frontend.maxConnections());
-        handlerContext.writeAndFlush(reply);
-    }
-
-    private void beginRequest(int id, ByteBuf content) {
-        PendingRequest openRequest = openRequests.get(id);
-        if (openRequest == null && closeWhenDone) {
-            // Each request that is written before the client sees the end gets an answer.
-            strayBytes = 0;
-            refuse(id, FastCgi.OVERLOADED);
-        } else if (openRequest != null) {
-            // The id of an open request is ambiguous; the request in flight gets its one response.
-            if (!openRequest.handedOver) {
-                rejectMalformed(openRequest);
-            }
-            rejectConnection();
-        } else if (content.readableBytes() < FastCgi.BEGIN_REQUEST_BODY_BYTES
-                || content.getUnsignedShort(0) != FastCgi.RESPONDER) {
-            refuse(id, FastCgi.UNKNOWN_ROLE);
-        } else if (openRequests.size() >= MAX_OPEN_REQUESTS) {
-            refuse(id, FastCgi.OVERLOADED);
-        } else {
-            openRequests.put(
-                    id,
-                    new PendingRequest(
-                            this,
-                            id,
-                            frontend.nowMillis(),
-                            (content.getUnsignedByte(2) & FastCgi.KEEP_CONN) != 0));
-        }
+    /** Whether a request that begins now is accepted. */
+    boolean acceptsRequests() {
+        return !closeWhenDone;
     }
 
-    private void refuse(int id, int protocolStatus) {
-        handlerContext.writeAndFlush(
-                ResponseWriter.endOfRequest(handlerContext.alloc(), id, protocolStatus));
+    ByteBufAllocator allocator() {
+        return handlerContext.alloc();
     }
 
-    private void appendToStream(int type, PendingRequest request, ByteBuf content) {
-        boolean endOfStream = !content.isReadable();
-        switch (type) {
-            case FastCgi.PARAMS -> {
-                if (endOfStream) {
-                    request.parametersComplete = true;
-                } else if (request.parametersComplete || !request.appendParameters(content)) {
-                    rejectMalformed(request);
-                }
-            }
-            case FastCgi.STDIN -> {
-                if (endOfStream) {
-                    completeRequest(request);
-                } else if (!request.appendBody(content)) {
-                    rejectMalformed(request);
-                }
-            }
-            case FastCgi.ABORT_REQUEST -> respond(request, Response.invalid());
-            default -> {}
-        }
-    }
-
-    private void completeRequest(PendingRequest request) {
-        strayBytes = 0;
-        completedSinceOverdue = true;
-        RequestParameters parameters =
-                request.parametersComplete ? RequestParameters.read(request.parameters()) : null;
-        if (parameters != null && parameters.isHealthCheck()) {
-            usage.carriedHealthCheck();
-            write(
-                    request,
-                    ResponseWriter.healthResponse(
-                            handlerContext.alloc(),
-                            request.id,
-                            gateway.healthy(),
-                            gateway.loadLevel()));
-            return;
-        }
-        usage.carriedRequest();
-        IncomingRequest incoming =
-                parameters == null ? null : parameters.toIncomingRequest(request.body());
-        if (incoming == null) {
-            respond(request, Response.invalid());
-            return;
-        }
-        request.requestId = incoming.id();
-        gateway.handle(incoming, request);
-        request.handOver();
-    }
-
-    /**
-     * Answers a malformed request as invalid and rejects the connection, because no client proxy
-     * sends such requests.
-     */
-    private void rejectMalformed(PendingRequest request) {
-        respond(request, Response.invalid());
-        rejectConnection();
+    /** Writes records that answer no open request. */
+    void send(ByteBuf records) {
+        handlerContext.writeAndFlush(records);
     }
 
     @Override
@@ -268,7 +147,7 @@
 
     /** Rejects the connection and releases what is kept for its partial input. */
     void rejectPartialInput() {
-        rejectConnection();
+        reject();
         decoder.skipPartialRecord();
     }
 
@@ -290,7 +169,8 @@
         }
     }
 
-    private void write(PendingRequest request, ByteBuf response) {
+    /** Writes the response to an open request. */
+    void write(PendingRequest request, ByteBuf response) {
         openRequests.remove(request.id);
         request.handOver();
         closeWhenDone |= !request.keepConnection;
@@ -408,11 +288,11 @@
      * rejected.
      */
     private void failOverdueSince(double beforeMillis) {
-        if (!completedSinceOverdue) {
-            rejectConnection();
+        if (usage.completedRequests() == completedAtOverdue) {
+            reject();
             return;
         }
-        completedSinceOverdue = false;
+        completedAtOverdue = usage.completedRequests();
         if (isPartialRecordOverdueSince(beforeMillis)) {
             failIncomplete(openRequests.get(decoder.partialRecordId()));
             decoder.skipPartialRecord();
@@ -472,7 +352,7 @@
      * Gives the connection up: complete requests are still answered, partial ones fail, further
      * ones are refused, and the connection closes after the last response.
      */
-    private void rejectConnection() {
+    void reject() {
         if (!rejecting) {
             rejecting = true;
             closeWhenDone = true;
@@ -484,6 +364,12 @@
         }
     }
 
+    /** Gives the connection up because its further input can't be read, or is no request. */
+    void rejectUnreadable() {
+        discardInput();
+        reject();
+    }
+
     /** Ignores all further input; it is still read, slowly, to notice the end of the connection. */
     private void discardInput() {
         discarding = true;
@@ -539,10 +425,9 @@
             if (request != null && !request.handedOver) {
                 respond(request, Response.invalid());
             }
-            rejectConnection();
+            reject();
         } else if (event == RecordDecoder.FRAMING_LOST) {
-            discardInput();
-            rejectConnection();
+            rejectUnreadable();
         } else if (event instanceof ChannelInputShutdownEvent) {
             inputEnded();
         }
@@ -558,8 +443,7 @@
             return;
         }
         cancelAll();
-        discardInput();
-        rejectConnection();
+        rejectUnreadable();
     }
 
     private void cancelAll() {
--- a/src/main/java/tinroad/fastcgi/ConnectionUse.java
+++ b/src/main/java/tinroad/fastcgi/ConnectionUse.java
@@ -6,6 +6,7 @@
     private double lastUsedMillis;
     private boolean carriesHealthChecks;
     private boolean carriesRequests;
+    private int completedRequests;
 
     void opened(double nowMillis) {
         openedAtMillis = nowMillis;
@@ -18,10 +19,17 @@
 
     void carriedHealthCheck() {
         carriesHealthChecks = true;
+        completedRequests++;
     }
 
     void carriedRequest() {
         carriesRequests = true;
+        completedRequests++;
+    }
+
+    /** Number of complete requests and health checks so far. */
+    int completedRequests() {
+        return completedRequests;
     }
 
     boolean carriesRequests() {
--- a/src/main/java/tinroad/fastcgi/ManagementRecords.java
+++ b/src/main/java/tinroad/fastcgi/ManagementRecords.java
@@ -34,7 +34,7 @@
                                         name,
                                         Integer.toString(
                                                 maxConnections
-                                                        * ClientConnection.MAX_OPEN_REQUESTS));
+                                                        * RequestAssembler.MAX_OPEN_REQUESTS));
                         case MULTIPLEXES -> values.put(name, "1");
                         default -> {}
                     }
--- a/src/test/java/tinroad/fastcgi/ClientConnectionTest.java
+++ b/src/test/java/tinroad/fastcgi/ClientConnectionTest.java
@@ -431,7 +431,7 @@
         assertEquals(List.of("2: " + SERVED + "fine"), responses());
         assertFalse(channel.isOpen());
         channel = connect();
-        for (int i = 0; i <= ClientConnection.MAX_STRAY_BYTES / 1000 && channel.isOpen(); i++) {
+        for (int i = 0; i <= RequestAssembler.MAX_STRAY_BYTES / 1000 && channel.isOpen(); i++) {
             receive(Records.record(5, 9, new byte[1000], 0));
         }
         assertFalse(channel.isOpen(), "too many bytes that belong to no request");
@@ -594,7 +594,7 @@
 
     @Test
     void openRequestsAndParametersAreBounded() {
-        for (int i = 1; i <= ClientConnection.MAX_OPEN_REQUESTS + 1; i++) {
+        for (int i = 1; i <= RequestAssembler.MAX_OPEN_REQUESTS + 1; i++) {
             receive(Records.beginRequest(i, 1, 1));
         }
         assertEquals(List.of("65! 2"), responses());
