--- a/src/main/java/tinroad/handover/ClaimFile.java
+++ b/src/main/java/tinroad/handover/ClaimFile.java
@@ -38,6 +38,12 @@
     /** Position of the first of the locks that {@link #tryLock} numbers from 0. */
     private static final long FIRST_LOCK = MEMBERSHIP_LOCK + 1;
 
+    /**
+     * Length of the pieces in which the file is initialized: for each write the virtual machine
+     * keeps a copy in direct memory.
+     */
+    private static final int ZEROS_BYTES = 16 * 1024;
+
     private static final int OPEN_ATTEMPTS = 200;
     private static final long OPEN_RETRY_MILLIS = 10;
 
@@ -109,7 +115,7 @@
                             && readLong(channel, LAYOUT_OFFSET) == LAYOUT
                             && readLong(channel, HEARTBEAT_OFFSET) >= start.atMillis();
             if (!wasUsedSinceStart) {
-                writeFully(channel, ByteBuffer.allocate(size), 0);
+                writeZeros(channel, size);
                 channel.truncate(size);
                 writeLong(channel, LAYOUT_OFFSET, LAYOUT);
             }
@@ -142,6 +148,13 @@
         writeFully(channel, bytes.putLong(0, value), offset);
     }
 
+    private static void writeZeros(FileChannel channel, int size) throws IOException {
+        for (int position = 0; position < size; position += ZEROS_BYTES) {
+            int length = Math.min(ZEROS_BYTES, size - position);
+            writeFully(channel, ByteBuffer.allocate(length), position);
+        }
+    }
+
     private static void writeFully(FileChannel channel, ByteBuffer bytes, long position)
             throws IOException {
         while (bytes.hasRemaining()) {
