Give a partial record its own time after a skipped one

Cause: found on reading the change again. When an overdue partial record is skipped and no record is complete before the next partial one, that one took over the old time, counted as overdue at once, and its connection was rejected: a slow but sound client paid, with refusals, none lost.

Change: the time is forgotten with the record that is skipped.

That the test fails without the change was not shown before this commit: the one try did not compile.

--- a/src/main/java/tinroad/fastcgi/ClientConnection.java
+++ b/src/main/java/tinroad/fastcgi/ClientConnection.java
@@ -296,6 +296,7 @@
         if (isPartialRecordOverdueSince(beforeMillis)) {
             failIncomplete(openRequests.get(decoder.partialRecordId()));
             decoder.skipPartialRecord();
+            forgetPartialRecord();
         }
         for (PendingRequest request : List.copyOf(openRequests.values())) {
             if (request.startedAtMillis < beforeMillis) {
@@ -304,6 +305,13 @@
         }
     }
 
+    /** Makes the next partial record count from when it is first seen, once this one is skipped. */
+    private void forgetPartialRecord() {
+        if (!decoder.midRecord()) {
+            recordsBeforePartial = -1;
+        }
+    }
+
     private void failIncomplete(PendingRequest request) {
         if (request != null && !request.handedOver) {
             respond(request, Response.invalid());
--- a/src/test/java/tinroad/fastcgi/PartialInputTest.java
+++ b/src/test/java/tinroad/fastcgi/PartialInputTest.java
@@ -196,6 +196,25 @@
         assertEquals(2, harness.runs.size(), "the slow request does not run");
     }
 
+    /** Guards against a partial record that is taken for as old as the one skipped before it. */
+    @Test
+    void aPartialRecordAfterASkippedOneHasItsOwnTime() {
+        EmbeddedChannel channel = connect();
+        byte[] record = Records.record(4, 9, SMALL, 0);
+        write(channel, completeRequest(1), Records.beginRequest(9, 1, 1));
+        write(channel, Arrays.copyOf(record, 100));
+        passTime(FastCgiFrontend.REQUEST_TIMEOUT_MILLIS + 1);
+        assertEquals(List.of("9: " + INVALID), responses(channel));
+        byte[] next = completeRequest(2);
+        write(channel, Arrays.copyOfRange(record, 100, record.length), Arrays.copyOf(next, 10));
+        passTime(10);
+        channel.runPendingTasks();
+        write(channel, Arrays.copyOfRange(next, 10, next.length));
+        completeRun(1);
+        completeRun(2);
+        assertEquals(List.of("1: " + SERVED + "r1", "2: " + SERVED + "r2"), responses(channel));
+    }
+
     @Test
     void aConnectionThatCompletesNothingBetweenTwoSlowRequestsIsRejected() {
         EmbeddedChannel channel = connect();
