--- a/review/stand-ins-2/review2/Gateway.java
+++ b/review/stand-ins-2/review2/Gateway.java
@@ -23,18 +23,27 @@
     private final Record record;
     private final String name;
 
+    /** Starts a process that may hold 1,024 descriptors. */
+    Gateway(String name, String listen, String engine, String roster, long stopMillis,
+            String settings, Path directory, Path tmpdir, Record record) throws IOException {
+        this(name, listen, engine, roster, stopMillis, 1024, settings, directory, tmpdir, record);
+    }
+
     /**
+     * @param sockets the limit of descriptors
      * @param directory a temporary folder of the case
      * @param tmpdir the folder that all processes of this gateway get as TMPDIR
      */
     Gateway(String name, String listen, String engine, String roster, long stopMillis,
-            String settings, Path directory, Path tmpdir, Record record) throws IOException {
+            int sockets, String settings, Path directory, Path tmpdir, Record record)
+            throws IOException {
         this.name = name;
         this.listen = listen;
         this.record = record;
         control = "127.0.0.1:" + freePort();
         config = Files.createTempFile(directory, "config", ".json");
-        Files.writeString(config, config(listen, control, engine, roster, stopMillis, settings));
+        Files.writeString(config, config(listen, control, engine, roster, stopMillis,
+                sockets, settings));
         ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", System.getProperty("run"));
         builder.directory(new File(System.getProperty("root")));
         builder.environment().put("GW_NAME", "n1");
@@ -50,11 +59,12 @@
     }
 
     static String config(String listen, String control, String engine, String roster,
-            long stopMillis, String settings) {
+            long stopMillis, int sockets, String settings) {
         return "{\"name\":\"n1\",\"listen\":\"" + listen + "\",\"control\":\"" + control
                 + "\",\"engine\":\"" + engine + "\",\"roster\":\"" + roster
                 + "\",\"seed\":\"8c1f30d27a5be964\",\"stop_ms\":" + stopMillis
-                + ",\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024},\"settings\":"
+                + ",\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":" + sockets
+                + "},\"settings\":"
                 + settings + "}";
     }
 
