--- a/review/stand-ins-2/review2/Case.java
+++ b/review/stand-ins-2/review2/Case.java
@@ -30,7 +30,7 @@
     abstract String play() throws Exception;
 
     static void main(Case self, String[] args) {
-        Runtime.getRuntime().addShutdownHook(new Thread(Gateway::killAll));
+        Runtime.getRuntime().addShutdownHook(new Thread(self::cleanUp));
         Engine.daemon(() -> {
             sleep(MAX_MILLIS);
             System.out.println("the case took too long");
@@ -51,6 +51,18 @@
         Runtime.getRuntime().exit(status);
     }
 
+    /** Ends what is left and removes the temporary folder, however the case ends. */
+    private void cleanUp() {
+        Gateway.killAll();
+        try {
+            if (directory != null && Files.exists(directory)) {
+                delete(directory);
+            }
+        } catch (IOException e) {
+            System.out.println("not removed: " + directory);
+        }
+    }
+
     private int run(Path folder) throws Exception {
         directory = Files.createTempDirectory("review-2-");
         try (Record opened = new Record(folder.resolve("record.txt"));
@@ -63,9 +75,6 @@
             record.line(verdict);
             System.out.println(verdict);
             return broken == null ? 0 : 1;
-        } finally {
-            Gateway.killAll();
-            delete(directory);
         }
     }
 
