--- a/src/main/java/tinroad/lab/script/Script.java
+++ b/src/main/java/tinroad/lab/script/Script.java
@@ -165,7 +165,7 @@
                     return jump.level;
                 }
             }
-            return level * (1 + waveAmplitude * Math.sin(2 * Math.PI * millis / wavePeriod));
+            return level * (1 + waveAmplitude * StrictMath.sin(2 * Math.PI * millis / wavePeriod));
         }
 
         /** Upper bound of the load at any time. */
--- a/src/test/java/tinroad/LayersTest.java
+++ b/src/test/java/tinroad/LayersTest.java
@@ -1,8 +1,12 @@
 package tinroad;
 
 import static com.tngtech.archunit.base.DescribedPredicate.not;
+import static com.tngtech.archunit.core.domain.JavaCall.Predicates.target;
 import static com.tngtech.archunit.core.domain.JavaClass.Predicates.resideInAPackage;
 import static com.tngtech.archunit.core.domain.JavaClass.Predicates.resideInAnyPackage;
+import static com.tngtech.archunit.core.domain.JavaClass.Predicates.type;
+import static com.tngtech.archunit.core.domain.properties.HasName.Predicates.nameMatching;
+import static com.tngtech.archunit.core.domain.properties.HasOwner.Predicates.With.owner;
 import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.classes;
 import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
 
@@ -184,6 +188,25 @@
         }
     }
 
+    /**
+     * Guards against schedules that differ between processors: what {@link Math} computes by
+     * approximation, and the library's samplers, which use it, may differ in the last digit.
+     */
+    @Test
+    void schedulesUseNoArithmeticThatDiffersBetweenProcessors() {
+        noClasses()
+                .that()
+                .resideInAnyPackage("tinroad.lab.schedule..", "tinroad.lab.script..")
+                .should()
+                .callMethodWhere(
+                        target(owner(type(Math.class)))
+                                .and(target(not(nameMatching("min|max|abs|round|floor|ceil")))))
+                .orShould()
+                .dependOnClassesThat()
+                .resideInAPackage("org.apache.commons.rng.sampling.distribution..")
+                .check(ALL);
+    }
+
     @Test
     void onlyTheOperatorPackageAndCommandsUseDatabind() {
         noClasses()
