Answer requests whose first record is cut by a silence

Cause: an overdue partial record was skipped and the open request of its number failed. A partial BEGIN_REQUEST has opened none, so nobody was answered, and the records after it belonged to no request.

Change: a partial record that begins a request, or may do so, is kept (327 bytes at most) and waits while another request is in flight; otherwise the connection ends in order. A BEGIN_REQUEST that is too long is refused, not skipped.

--- a/src/main/java/tinroad/fastcgi/ClientConnection.java
+++ b/src/main/java/tinroad/fastcgi/ClientConnection.java
@@ -318,8 +318,19 @@
         }
     }
 
+    /**
+     * Whether the partial record has been waiting since before this time. One that may begin a
+     * request can wait while another request is in flight: the connection stays open anyway, and
+     * the rest of the record tells what has to be answered.
+     */
     private boolean isPartialRecordOverdueSince(double beforeMillis) {
-        return decoder.midRecord() && partialSinceMillis < beforeMillis;
+        return decoder.midRecord()
+                && partialSinceMillis < beforeMillis
+                && !(decoder.partialRecordMayBeginRequest() && hasRequestInFlight());
+    }
+
+    private boolean hasRequestInFlight() {
+        return openRequests.values().stream().anyMatch(request -> request.handedOver);
     }
 
     /** Whether the first request, or one that has begun, is incomplete since before this time. */
@@ -342,8 +353,7 @@
     boolean isEvictable() {
         return (linger.lingering() && allSent())
                 || isEmpty()
-                || (!usage.carriesRequests()
-                        && openRequests.values().stream().noneMatch(request -> request.handedOver));
+                || (!usage.carriesRequests() && !hasRequestInFlight());
     }
 
     /**
@@ -429,10 +439,7 @@
     @Override
     public void userEventTriggered(ChannelHandlerContext context, Object event) {
         if (event instanceof RecordDecoder.TooLong tooLongRecord) {
-            PendingRequest request = openRequests.get(tooLongRecord.recordId());
-            if (request != null && !request.handedOver) {
-                respond(request, Response.invalid());
-            }
+            assembler.skippedTooLong(tooLongRecord.type(), tooLongRecord.recordId());
             reject();
         } else if (event == RecordDecoder.FRAMING_LOST) {
             rejectUnreadable();
--- a/src/main/java/tinroad/fastcgi/FastCgiFrontend.java
+++ b/src/main/java/tinroad/fastcgi/FastCgiFrontend.java
@@ -321,6 +321,11 @@
         partialInput.add(bytes);
     }
 
+    /** Returns the bytes that all connections keep for input that is not complete. */
+    long heldPartialInput() {
+        return partialInput.heldBytes();
+    }
+
     /**
      * Rejects the connections that hold most partial input until all of them together keep to the
      * bound. It is called after each read, so that a client which fills the bound pays itself, and
--- a/src/main/java/tinroad/fastcgi/RecordDecoder.java
+++ b/src/main/java/tinroad/fastcgi/RecordDecoder.java
@@ -24,6 +24,13 @@
      */
     static final int MAX_CONTENT_BYTES = 16 * 1024;
 
+    /**
+     * Upper bound of the content of a BEGIN_REQUEST, whose partial record is never skipped; a valid
+     * one has 8 bytes.
+     */
+    private static final int MAX_BEGIN_CONTENT_BYTES = 64;
+
+    private static final int TYPE_OFFSET = 1;
     private static final int ID_OFFSET = 2;
     private static final int CONTENT_LENGTH_OFFSET = 4;
     private static final int PADDING_LENGTH_OFFSET = 6;
@@ -31,8 +38,12 @@
     private static final int MAX_RECORD_BYTES =
             FastCgi.HEADER_BYTES + MAX_CONTENT_BYTES + MAX_PADDING_BYTES;
 
+    /** Upper bound of a BEGIN_REQUEST with its header and padding. */
+    static final int MAX_BEGIN_RECORD_BYTES =
+            FastCgi.HEADER_BYTES + MAX_BEGIN_CONTENT_BYTES + MAX_PADDING_BYTES;
+
     /** The user event that is fired when a record was skipped because it is too long. */
-    record TooLong(int recordId) {}
+    record TooLong(int type, int recordId) {}
 
     /** Is notified of what the decoder does. */
     interface Listener {
@@ -128,17 +139,27 @@
             context.fireUserEventTriggered(FRAMING_LOST);
             return false;
         }
-        if (recordBytes(header) > MAX_RECORD_BYTES) {
-            int recordId = recordId(header);
+        if (recordBytes(header) > maxRecordBytes(header)) {
+            TooLong tooLong = new TooLong(recordType(header), recordId(header));
             int consumedBytes = partialRecord == null ? 0 : partialRecord.readableBytes();
             bytesToSkip = recordBytes(header) - consumedBytes;
             releasePartialRecord();
-            context.fireUserEventTriggered(new TooLong(recordId));
+            context.fireUserEventTriggered(tooLong);
             return false;
         }
         return true;
     }
 
+    private static int maxRecordBytes(ByteBuf header) {
+        return recordType(header) == FastCgi.BEGIN_REQUEST
+                ? MAX_BEGIN_RECORD_BYTES
+                : MAX_RECORD_BYTES;
+    }
+
+    private static int recordType(ByteBuf header) {
+        return header.getUnsignedByte(header.readerIndex() + TYPE_OFFSET);
+    }
+
     private static int recordBytes(ByteBuf header) {
         return FastCgi.HEADER_BYTES
                 + header.getUnsignedShort(header.readerIndex() + CONTENT_LENGTH_OFFSET)
@@ -160,19 +181,30 @@
         return partialRecord != null;
     }
 
+    private boolean hasPartialHeader() {
+        return partialRecord != null && partialRecord.readableBytes() < FastCgi.HEADER_BYTES;
+    }
+
+    /**
+     * Whether the partial record begins a request, or may do so as its header is not complete. Such
+     * a record is not skipped: nobody else would answer its request.
+     */
+    boolean partialRecordMayBeginRequest() {
+        return hasPartialHeader()
+                || (partialRecord != null && recordType(partialRecord) == FastCgi.BEGIN_REQUEST);
+    }
+
     /** The request id of the partial record; 0 if its header is not complete. */
     int partialRecordId() {
-        return partialRecord == null || partialRecord.readableBytes() < FastCgi.HEADER_BYTES
-                ? 0
-                : recordId(partialRecord);
+        return partialRecord == null || hasPartialHeader() ? 0 : recordId(partialRecord);
     }
 
     /**
-     * Releases the partial record and skips the rest of it. Without its header its length is not
-     * known, so that a few bytes are kept.
+     * Releases the partial record and skips the rest of it, unless it may begin a request. Then it
+     * is kept, which takes {@link #MAX_BEGIN_RECORD_BYTES} at most.
      */
     void skipPartialRecord() {
-        if (partialRecord != null && partialRecord.readableBytes() >= FastCgi.HEADER_BYTES) {
+        if (partialRecord != null && !partialRecordMayBeginRequest()) {
             bytesToSkip = recordBytes(partialRecord) - partialRecord.readableBytes();
             releasePartialRecord();
         }
--- a/src/main/java/tinroad/fastcgi/RequestAssembler.java
+++ b/src/main/java/tinroad/fastcgi/RequestAssembler.java
@@ -65,6 +65,16 @@
         }
     }
 
+    /** Answers the request of a record that was skipped because it is too long. */
+    void skippedTooLong(int type, int id) {
+        PendingRequest request = openRequests.get(id);
+        if (request != null && !request.handedOver) {
+            connection.respond(request, Response.invalid());
+        } else if (request == null && type == FastCgi.BEGIN_REQUEST && id != 0) {
+            refuse(id, FastCgi.UNKNOWN_ROLE);
+        }
+    }
+
     private void countStrayBytes(int bytes) {
         strayBytes += bytes;
         if (strayBytes > MAX_STRAY_BYTES) {
