End a drain though clients connect again and again

Cause: FastCgiFrontend.acceptPending accepted until the listener's queue was empty. Each accept evicted another client, which connected again at once: the loop did not end, on the one event loop (three of three thread dumps).

Change: ListenerClose accepts what can have waited when the close began, in order of arrival: 1,025 connections at most, for 100 ms at most, in slices with input and output in between. NodeShutdown ends the process 100 ms before the kill if nothing is owed though clients keep connections open.

--- a/src/main/java/tinroad/fastcgi/ClientConnection.java
+++ b/src/main/java/tinroad/fastcgi/ClientConnection.java
@@ -45,6 +45,7 @@
     private final RecordDecoder decoder = new RecordDecoder(this);
     private final IntObjectMap<PendingRequest> openRequests = new IntObjectHashMap<>();
     private final ConnectionUse usage = new ConnectionUse();
+    private final PartialRecordTimer partialRecordTimer = new PartialRecordTimer();
     private final RequestAssembler assembler;
     private ChannelHandlerContext handlerContext;
     private boolean closeWhenDone;
@@ -53,12 +54,6 @@
     /** Number of complete records read so far. */
     private int recordsRead;
 
-    /** The value of {@link #recordsRead} when the current partial record was first seen. */
-    private int recordsBeforePartial = -1;
-
-    /** When the current partial record was first seen, in Unix ms; valid only if there is one. */
-    private double partialSinceMillis;
-
     private boolean overdueInLastSweep;
 
     /** Number of requests that were completed when one was overdue last. */
@@ -119,9 +114,8 @@
     public void channelReadComplete(ChannelHandlerContext context) {
         markUsed();
         openRequests.values().forEach(PendingRequest::copyReadBuffer);
-        if (decoder.midRecord() && recordsRead != recordsBeforePartial) {
-            recordsBeforePartial = recordsRead;
-            partialSinceMillis = usage.lastUsedMillis();
+        if (decoder.midRecord()) {
+            partialRecordTimer.begin(recordsRead, usage.lastUsedMillis());
         }
     }
 
@@ -296,7 +290,9 @@
         if (isPartialRecordOverdueSince(beforeMillis)) {
             failIncomplete(openRequests.get(decoder.partialRecordId()));
             decoder.skipPartialRecord();
-            forgetPartialRecord();
+            if (!decoder.midRecord()) {
+                partialRecordTimer.reset();
+            }
         }
         for (PendingRequest request : List.copyOf(openRequests.values())) {
             if (request.startedAtMillis < beforeMillis) {
@@ -305,13 +301,6 @@
         }
     }
 
-    /** Makes the next partial record count from when it is first seen, once this one is skipped. */
-    private void forgetPartialRecord() {
-        if (!decoder.midRecord()) {
-            recordsBeforePartial = -1;
-        }
-    }
-
     private void failIncomplete(PendingRequest request) {
         if (request != null && !request.handedOver) {
             respond(request, Response.invalid());
@@ -325,7 +314,7 @@
      */
     private boolean isPartialRecordOverdueSince(double beforeMillis) {
         return decoder.midRecord()
-                && partialSinceMillis < beforeMillis
+                && partialRecordTimer.beganBefore(beforeMillis)
                 && !(decoder.partialRecordMayBeginRequest() && hasRequestInFlight());
     }
 
--- a/src/main/java/tinroad/fastcgi/FastCgiFrontend.java
+++ b/src/main/java/tinroad/fastcgi/FastCgiFrontend.java
@@ -10,7 +10,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.WriteBufferWaterMark;
-import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
@@ -391,25 +390,27 @@
 
     @Override
     public void closeGracefully() {
-        draining = true;
-        if (listener != null) {
-            acceptPending();
-            listener.close();
+        if (!draining) {
+            draining = true;
+            if (listener != null) {
+                new ListenerClose(listener, ACCEPT_BACKLOG + 1, () -> acceptedCount, clock)
+                        .acceptSlice();
+            }
         }
     }
 
-    /**
-     * Accepts all connections that the kernel has accepted but this process has not yet. Closing
-     * the listener would reset them and lose the requests that their clients have written.
-     */
-    private void acceptPending() {
-        if (listener.unsafe() instanceof AbstractNioChannel.NioUnsafe listenerChannel) {
-            long acceptedBefore;
-            do {
-                acceptedBefore = acceptedCount;
-                listenerChannel.read();
-            } while (acceptedCount > acceptedBefore);
-        }
+    /** Returns whether the listener and all connections are closed. */
+    public boolean isClosed() {
+        return connections.isEmpty() && !isListening();
+    }
+
+    boolean isListening() {
+        return listener != null && listener.isOpen();
+    }
+
+    /** Returns whether a client has not taken all of its responses yet. */
+    public boolean hasUnsentResponses() {
+        return connections.stream().anyMatch(connection -> connection.unsentBytes() > 0);
     }
 
     @Override
--- a/src/main/java/tinroad/node/NodeShutdown.java
+++ b/src/main/java/tinroad/node/NodeShutdown.java
@@ -30,9 +30,11 @@
  *       kill.
  *   <li>"controller: draining, shutdown in N ms" (logger "gateway"): the overload controller was
  *       notified too. This line comes late or never if the engine has not been attached yet.
- *   <li>"drained": every request is answered and every connection is closed, at the exit time or,
- *       if the process was replaced, before it; the state is saved and the process ends. If this
- *       line is missing, the time until the kill ran out with requests or connections left.
+ *   <li>"N connections open that are owed nothing": clients did not close their side until shortly
+ *       before the kill; the process ends all the same.
+ *   <li>"drained": every request is answered and every connection is closed or owed nothing, at the
+ *       exit time or, if the process was replaced, before it; the state is saved and the process
+ *       ends. If this line is missing, the time until the kill ran out with responses left.
  * </ul>
  */
 final class NodeShutdown {
@@ -63,6 +65,9 @@
      */
     private static final double CLOSE_LEAD_MILLIS = 250;
 
+    /** Time before the kill at which the process ends though clients keep connections open. */
+    private static final double LAST_EXIT_LEAD_MILLIS = 100;
+
     /** Period of the check whether all requests are answered and all connections closed. */
     private static final double EMPTY_POLL_MILLIS = 10;
 
@@ -88,6 +93,9 @@
     /** When the process ends at the latest, in Unix ms. */
     private double exitAtMillis = Double.POSITIVE_INFINITY;
 
+    /** When the process is killed, in Unix ms. */
+    private double killAtMillis = Double.POSITIVE_INFINITY;
+
     NodeShutdown(
             GatewayConfig config,
             Clock clock,
@@ -161,6 +169,7 @@
     }
 
     private void drain(double noticedAtMillis) {
+        killAtMillis = noticedAtMillis + config.stopMillis();
         exitAtMillis =
                 noticedAtMillis
                         + Math.max(
@@ -187,7 +196,10 @@
     }
 
     private void endOnceEmpty() {
-        if (gateway.allAnswered() && frontend.connections() == 0 && !awaitsRun()) {
+        if (gateway.allAnswered() && !awaitsRun() && nothingIsOwed()) {
+            if (frontend.connections() > 0) {
+                LOG.info("{} connections open that are owed nothing", frontend.connections());
+            }
             LOG.info("drained");
             persistence.save(gateway);
             ended.countDown();
@@ -196,6 +208,17 @@
         }
     }
 
+    /**
+     * Whether all connections are closed or, in the last moment before the kill, all that are left
+     * have taken their responses: clients that do not close their side must not have the process
+     * killed.
+     */
+    private boolean nothingIsOwed() {
+        return frontend.isClosed()
+                || (clock.nowMillis() >= killAtMillis - LAST_EXIT_LEAD_MILLIS
+                        && !frontend.hasUnsentResponses());
+    }
+
     private boolean awaitsRun() {
         return replaced && clock.nowMillis() < exitAtMillis && gateway.hasKeyedRun();
     }
--- a/src/test/java/tinroad/fastcgi/FrontendRaceTest.java
+++ b/src/test/java/tinroad/fastcgi/FrontendRaceTest.java
@@ -12,12 +12,16 @@
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Deque;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -26,11 +30,13 @@
 import java.util.concurrent.CyclicBarrier;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import tinroad.Cuts;
+import tinroad.core.Clock;
 import tinroad.core.Engine;
 import tinroad.core.GatewayHarness;
 
@@ -214,6 +220,97 @@
         }
     }
 
+    /**
+     * Guards against a drain that never ends: each connection that is accepted evicts another one,
+     * whose client connects again at once.
+     */
+    @Test
+    void clientsThatConnectAgainAtOnceDoNotKeepTheListenerFromClosing() throws Exception {
+        int queueLength = 1025;
+        int manyTimes = 4 * queueLength;
+        Deque<SocketChannel> crowd = new ArrayDeque<>();
+        int[] connects = {0};
+        boolean[] closing = {false};
+        // The time is read once at least for each connection that is accepted.
+        Clock connectingClock =
+                () -> {
+                    if (closing[0] && connects[0] < manyTimes) {
+                        connects[0]++;
+                        crowd.add(connectWithoutWaiting());
+                        if (crowd.size() > queueLength) {
+                            closeUnchecked(crowd.remove());
+                        }
+                    }
+                    return harness.nowMillis();
+                };
+        FastCgiFrontend crowded =
+                new FastCgiFrontend(
+                        connectingClock,
+                        harness.gateway,
+                        FastCgiFrontend.RESERVED_DESCRIPTORS + MAX_CONNECTIONS,
+                        192);
+        address =
+                (InetSocketAddress)
+                        eventLoop
+                                .submit(() -> crowded.listen(eventLoop, address(0)))
+                                .sync()
+                                .getNow()
+                                .sync()
+                                .channel()
+                                .localAddress();
+        Socket sound = connect();
+        CountDownLatch closed = new CountDownLatch(1);
+        eventLoop.execute(
+                () -> {
+                    closing[0] = true;
+                    crowd.add(connectWithoutWaiting());
+                    crowded.closeGracefully();
+                    pollUntil(() -> !crowded.isListening(), closed);
+                });
+        assertTrue(closed.await(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS), "the listener closes");
+        assertTrue(connects[0] < manyTimes, "accepting ends while clients still come");
+        CountDownLatch empty = new CountDownLatch(1);
+        eventLoop.execute(
+                () -> {
+                    closing[0] = false;
+                    pollUntil(crowded::isClosed, empty);
+                });
+        assertTrue(empty.await(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS), "all connections close");
+        assertEquals(-1, sound.getInputStream().read());
+        crowd.forEach(FrontendRaceTest::closeUnchecked);
+    }
+
+    private static InetSocketAddress address(int port) {
+        return new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
+    }
+
+    private void pollUntil(BooleanSupplier condition, CountDownLatch fulfilled) {
+        if (condition.getAsBoolean()) {
+            fulfilled.countDown();
+        } else {
+            eventLoop.schedule(() -> pollUntil(condition, fulfilled), 1, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private SocketChannel connectWithoutWaiting() {
+        try {
+            SocketChannel client = SocketChannel.open();
+            client.configureBlocking(false);
+            client.connect(address);
+            return client;
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private static void closeUnchecked(SocketChannel socket) {
+        try {
+            socket.close();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
     @Test
     void aRequestOnARestingConnectionThatIsToMakeRoomIsAnsweredAndAnotherOneGoes()
             throws Exception {
