Share the operators' orders between the processes of a gateway

Cause: the order lay in the memory of the process that had received it.

Change: SharedEvacuation keeps the last order in TMPDIR, written and renamed before it is carried out; each process reads it before it connects to its engine, and every 250 ms. A process that was replaced follows orders, too. One that takes over an evacuated gateway reports off, and is ready: else the upgrade would wait for the operators.

--- a/src/main/java/tinroad/admin/AdminRequestHandler.java
+++ b/src/main/java/tinroad/admin/AdminRequestHandler.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
@@ -46,12 +47,14 @@
         // connection closes after the first response.
         if (!requestReceived) {
             requestReceived = true;
-            ChannelFuture unused =
-                    ctx.writeAndFlush(router.respond(request))
-                            .addListener(ChannelFutureListener.CLOSE);
+            router.respond(request, response -> respond(ctx, response));
         }
     }
 
+    private static void respond(ChannelHandlerContext ctx, FullHttpResponse response) {
+        ChannelFuture unused = ctx.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+    }
+
     /** Closes this connection, and nothing else, on an exception. */
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
--- a/src/main/java/tinroad/admin/AdminRouter.java
+++ b/src/main/java/tinroad/admin/AdminRouter.java
@@ -8,18 +8,26 @@
 import io.netty.handler.codec.http.QueryStringDecoder;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import tinroad.core.Gateway;
 import tinroad.fleet.Membership;
 
 /** Routes a request to its resource by path and method. */
 final class AdminRouter {
-    private record Route(HttpMethod method, Supplier<FullHttpResponse> resource) {}
+    /** Responds to a request, at once or later on the event loop. */
+    @FunctionalInterface
+    private interface Resource {
+        void respond(Consumer<FullHttpResponse> responder);
+    }
+
+    private record Route(HttpMethod method, Resource resource) {}
 
     private final Map<String, Route> routes;
 
-    AdminRouter(Gateway gateway, Supplier<Optional<Membership>> membership) {
-        EvacuationResource evacuation = new EvacuationResource(gateway);
+    AdminRouter(
+            Gateway gateway, EvacuationOrders orders, Supplier<Optional<Membership>> membership) {
+        EvacuationResource evacuation = new EvacuationResource(gateway, orders);
         routes =
                 Map.of(
                         "/api/ready", get(new ReadinessResource(gateway)::respond),
@@ -32,28 +40,36 @@
     }
 
     private static Route get(Supplier<FullHttpResponse> resource) {
-        return new Route(HttpMethod.GET, resource);
+        return new Route(HttpMethod.GET, responder -> responder.accept(resource.get()));
     }
 
-    private static Route post(Supplier<FullHttpResponse> resource) {
+    private static Route post(Resource resource) {
         return new Route(HttpMethod.POST, resource);
     }
 
-    FullHttpResponse respond(FullHttpRequest request) {
+    /** Passes the response to {@code responder}, at once or later on the event loop. */
+    void respond(FullHttpRequest request, Consumer<FullHttpResponse> responder) {
+        Route route =
+                request.decoderResult().isFailure()
+                        ? null
+                        : routes.get(new QueryStringDecoder(request.uri()).path());
+        if (route != null && route.method().equals(request.method())) {
+            route.resource().respond(responder);
+        } else {
+            responder.accept(reject(request, route));
+        }
+    }
+
+    private static FullHttpResponse reject(FullHttpRequest request, Route route) {
         if (request.decoderResult().isFailure()) {
             return AdminResponses.text(HttpResponseStatus.BAD_REQUEST, "not a call");
         }
-        Route route = routes.get(new QueryStringDecoder(request.uri()).path());
         if (route == null) {
             return AdminResponses.text(HttpResponseStatus.NOT_FOUND, "no such call");
         }
-        if (!route.method().equals(request.method())) {
-            FullHttpResponse wrongMethod =
-                    AdminResponses.text(
-                            HttpResponseStatus.METHOD_NOT_ALLOWED, "use " + route.method());
-            wrongMethod.headers().set(HttpHeaderNames.ALLOW, route.method().name());
-            return wrongMethod;
-        }
-        return route.resource().get();
+        FullHttpResponse wrongMethod =
+                AdminResponses.text(HttpResponseStatus.METHOD_NOT_ALLOWED, "use " + route.method());
+        wrongMethod.headers().set(HttpHeaderNames.ALLOW, route.method().name());
+        return wrongMethod;
     }
 }
--- a/src/main/java/tinroad/admin/AdminServer.java
+++ b/src/main/java/tinroad/admin/AdminServer.java
@@ -36,17 +36,30 @@
     private final AdminRouter router;
     private final Set<Channel> openChannels = new LinkedHashSet<>();
 
-    /** Creates the endpoint of a gateway that is not a member of a fleet. */
+    /** Creates the endpoint of a gateway of one process that is not a member of a fleet. */
     public AdminServer(Gateway gateway) {
-        this(gateway, Optional::empty);
+        this(gateway, ordersOf(gateway), Optional::empty);
+    }
+
+    /** Returns orders that are carried out by this process alone. */
+    private static EvacuationOrders ordersOf(Gateway gateway) {
+        return (evacuate, done) -> {
+            if (evacuate) {
+                gateway.evacuate();
+            } else {
+                boolean unused = gateway.rejoin();
+            }
+            done.run();
+        };
     }
 
     /**
      * Creates the endpoint of {@code gateway} and its membership, which is empty while the gateway
      * is not a member of a fleet.
      */
-    public AdminServer(Gateway gateway, Supplier<Optional<Membership>> membership) {
-        router = new AdminRouter(gateway, membership);
+    public AdminServer(
+            Gateway gateway, EvacuationOrders orders, Supplier<Optional<Membership>> membership) {
+        router = new AdminRouter(gateway, orders, membership);
     }
 
     /** Starts to listen on the event loop that owns the gateway. */
--- a/src/main/java/tinroad/core/Gateway.java
+++ b/src/main/java/tinroad/core/Gateway.java
@@ -176,6 +176,11 @@
         health.setListener(listener);
     }
 
+    /** Sets what is called once this process is able to serve, whether it is evacuated or not. */
+    public void onAbleToServe(Runnable listener) {
+        health.setAbleToServeListener(listener);
+    }
+
     /**
      * Sets the consumers that are notified of slots, of classes and of tenants, that were removed
      * and that no request in flight refers to any more.
@@ -254,6 +259,11 @@
         health.markReplaced();
     }
 
+    /** Sets whether an older process of this gateway may still run. */
+    public void setTakingOver(boolean takingOver) {
+        health.setTakingOver(takingOver);
+    }
+
     /** Records that clients can connect to this process from now on. */
     public void markListening() {
         health.markListening();
@@ -277,7 +287,12 @@
         health.evacuate();
     }
 
-    /** Ends an evacuation; returns false if the process is draining. */
+    /** Returns whether {@link #rejoin} would end an evacuation: the gateway is not draining. */
+    public boolean canRejoin() {
+        return health.canRejoin();
+    }
+
+    /** Ends an evacuation; returns false if the gateway is draining. */
     public boolean rejoin() {
         return health.rejoin();
     }
--- a/src/main/java/tinroad/core/HealthStatus.java
+++ b/src/main/java/tinroad/core/HealthStatus.java
@@ -28,6 +28,21 @@
     /** Whether clients can connect to this process. */
     private boolean listening;
 
+    /** Whether an older process of the gateway may still run. */
+    private boolean takingOver;
+
+    /**
+     * Whether the gateway was evacuated before this process had taken over. Then it counts as ready
+     * all the same, as the older process is ended only once this one is.
+     */
+    private boolean evacuatedBeforeTakeover;
+
+    /** Called once this process is able to serve, whether it is evacuated or not; then null. */
+    private Runnable ableToServe = () -> {};
+
+    /** Whether a health was reported. */
+    private boolean reported;
+
     /** The health that was reported last. */
     private boolean healthy;
 
@@ -63,8 +78,16 @@
         loadLevel = value;
     }
 
+    void setAbleToServeListener(Runnable newListener) {
+        ableToServe = newListener;
+    }
+
+    /**
+     * Sets the health that the controller has determined. What it says of a process that was
+     * replaced, and so drains, does not count.
+     */
     void setControllerHealthy(boolean value) {
-        controllerHealthy = value;
+        controllerHealthy = replaced ? controllerHealthy : value;
         update();
     }
 
@@ -76,22 +99,36 @@
         listening = true;
     }
 
+    /** Sets whether an older process of the gateway may still run. */
+    void setTakingOver(boolean value) {
+        takingOver = value;
+    }
+
     /** Returns whether clients can reach this process, it is healthy, and it will go on serving. */
     boolean isReady() {
-        return listening && healthy && !shutdown.isDraining();
+        return listening
+                && controllerHealthy
+                && !shutdown.isDraining()
+                && (!evacuated || evacuatedBeforeTakeover);
     }
 
     void evacuate() {
         if (!evacuated) {
             evacuated = true;
+            evacuatedBeforeTakeover = takingOver || !listening;
             log.info("evacuated: out of the registry until it rejoins");
             update();
         }
     }
 
-    /** Ends an evacuation; returns false if the process is draining. */
+    /** Returns whether an evacuation can end: the gateway goes on, in this process or another. */
+    boolean canRejoin() {
+        return replaced || !shutdown.isDraining();
+    }
+
+    /** Ends an evacuation; returns false if the gateway is draining. */
     boolean rejoin() {
-        if (shutdown.isDraining()) {
+        if (!canRejoin()) {
             return false;
         }
         if (evacuated) {
@@ -102,13 +139,24 @@
         return true;
     }
 
-    /** Reports the health if it has changed. */
+    /**
+     * Reports the health if it has changed, or if this process is able to serve for the first time.
+     * A process that was replaced still answers health checks, and reports nothing.
+     */
     void update() {
-        boolean nowHealthy = controllerHealthy && !shutdown.isDraining() && !evacuated;
-        if (nowHealthy != healthy && !replaced) {
+        boolean canServe = controllerHealthy && (replaced || !shutdown.isDraining());
+        boolean nowHealthy = canServe && !evacuated;
+        if (nowHealthy != healthy || (canServe && !reported)) {
             healthy = nowHealthy;
+            reported = true;
             log.info("health {}", nowHealthy ? "good" : "bad");
-            listener.healthChanged(nowHealthy);
+            if (!replaced) {
+                listener.healthChanged(nowHealthy);
+            }
+        }
+        if (canServe && ableToServe != null) {
+            ableToServe.run();
+            ableToServe = null;
         }
     }
 }
--- a/src/main/java/tinroad/node/GatewayNode.java
+++ b/src/main/java/tinroad/node/GatewayNode.java
@@ -87,6 +87,7 @@
     private final boolean followsChangeLog;
     private final ConfigReloader reloader;
     private final NodeShutdown shutdown;
+    private final SharedEvacuation evacuation;
 
     /**
      * Decides the race between opening the listener and a shutdown notice: whichever comes first
@@ -94,7 +95,7 @@
      */
     private final AtomicReference<Phase> phase = new AtomicReference<>(Phase.STARTING);
 
-    private final CountDownLatch becameHealthy = new CountDownLatch(1);
+    private final CountDownLatch ableToServe = new CountDownLatch(1);
 
     /**
      * Whether another process shares the connection limits; accessed only on the thread that starts
@@ -102,6 +103,9 @@
      */
     private boolean limitsShared;
 
+    /** Whether an older process may still run; accessed on the same thread. */
+    private boolean takingOver;
+
     /**
      * Creates a gateway with {@link CatalogSettings#DEFAULT}; otherwise the same as the other
      * constructor.
@@ -183,7 +187,9 @@
         shutdown =
                 new NodeShutdown(
                         config, clock, eventLoop, gateway, frontend, reporter, gossip, persistence);
-        gateway.onHealth(this::onHealth);
+        gateway.onHealth(reporter::report);
+        gateway.onAbleToServe(ableToServe::countDown);
+        evacuation = new SharedEvacuation(directory, config.name(), eventLoop, gateway);
         if (stateSettings.enabled()) {
             gateway.restoreFrom(persistence.restoredState());
             timers.after(savePeriodMillis, this::save);
@@ -253,13 +259,6 @@
         persistence.save(gateway);
     }
 
-    private void onHealth(boolean good) {
-        reporter.report(good);
-        if (good) {
-            becameHealthy.countDown();
-        }
-    }
-
     /**
      * Sends synthetic requests through the hot paths, so that the JIT compiler compiles them before
      * any client connects; blocks meanwhile.
@@ -276,7 +275,7 @@
     /**
      * Opens the listener and starts connecting to the engine; blocks until the gateway listens. If
      * another process already listens on the address, this one connects first and listens only once
-     * the engine is reachable and health is good.
+     * the engine is reachable and it is able to serve.
      *
      * @return the address that the gateway listens on; empty if the shutdown notice came first, in
      *     which case it never listens
@@ -288,6 +287,7 @@
             AdminServer adminServer =
                     new AdminServer(
                             gateway,
+                            evacuation,
                             () -> Optional.ofNullable(gossip).map(UdpTransport::membership));
             awaitBound(adminServer.listen(eventLoop, config.control()), config.control());
         }
@@ -295,7 +295,9 @@
             reloader.followChangeLog();
         }
         boolean sharesAddress = anotherProcessSharesAddress();
+        evacuation.check();
         if (sharesAddress) {
+            setTakingOver(true);
             LogKeyValues.with(LOG.atInfo(), "listen", config.listen())
                     .log(
                             "another process listens on {}: listening beside it once the engine is"
@@ -303,7 +305,9 @@
                             config.listen());
             shareLimits(true);
             connect();
-            becameHealthy.await();
+            do {
+                evacuation.check();
+            } while (!ableToServe.await(PERIODIC_CHECK_MILLIS, TimeUnit.MILLISECONDS));
         }
         Optional<InetSocketAddress> bound = listen();
         if (bound.isPresent() && !sharesAddress) {
@@ -433,6 +437,10 @@
         do {
             try {
                 shareLimits(handover.isShared());
+                evacuation.check();
+                if (takingOver && handover.isKnownAsOldest()) {
+                    setTakingOver(false);
+                }
                 if (claims != null && handover.isKnownAsOldest()) {
                     claims.recordPredecessorsEnded(clock.nowMillis());
                 }
@@ -444,6 +452,11 @@
         } while (!shutdown.awaitEnd(PERIODIC_CHECK_MILLIS));
     }
 
+    private void setTakingOver(boolean value) {
+        takingOver = value;
+        eventLoop.execute(() -> gateway.setTakingOver(value));
+    }
+
     private void shareLimits(boolean shared) {
         if (shared != limitsShared) {
             limitsShared = shared;
@@ -459,6 +472,7 @@
     public void close() {
         persistence.close();
         reloader.close();
+        evacuation.close();
         handover.close();
         if (claims != null) {
             claims.close();
