Bound what clients that send without a pause cost others

Read 16 KiB a turn; InputThrottle, StreamBuffer, SweepBudget, SocketInput, CloseAttempts; 256 fields; a sixteenth of the memory, half of it with two processes; 32 KiB system buffer; requests refused near the end of a drain; where a class is keyed, unread requests fail in place of being refused. RequestTimeouts is taken out of ClientConnection.

Tests: ClientConnectionTest and PartialInputTest state 256 MB in place of 192, so that the bound they fill is the same 16 MiB as before. The new test of FrontendRaceTest passes on the code before, too, and is no proof of the fix.

--- a/src/main/java/tinroad/core/ActiveCatalog.java
+++ b/src/main/java/tinroad/core/ActiveCatalog.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import tinroad.catalog.Catalog;
 import tinroad.config.Site;
+import tinroad.overload.Controller.Idempotency;
 import tinroad.overload.Controller.RequestClass;
 
 /**
@@ -34,6 +35,7 @@
 
     private double maxArrivalOffsetMillis = MAX_ARRIVAL_OFFSET_MILLIS;
     private double shortestObjectiveMillis = Double.MAX_VALUE;
+    private boolean hasKeyedClass;
 
     ActiveCatalog(Site site, Catalog catalog, double nowMillis) {
         this.catalog = catalog;
@@ -77,6 +79,7 @@
      * Extends the bounds by the deadline and objective of a class. The bounds never shrink again.
      */
     void widenBounds(RequestClass requestClass) {
+        hasKeyedClass |= requestClass.idempotency() == Idempotency.IDEMPOTENT_WITH_KEY;
         maxArrivalOffsetMillis = Math.max(maxArrivalOffsetMillis, requestClass.deadlineMillis());
         shortestObjectiveMillis = Math.min(shortestObjectiveMillis, requestClass.objectiveMillis());
     }
@@ -88,6 +91,11 @@
         return maxArrivalOffsetMillis;
     }
 
+    /** Returns whether any class is keyed, or was. */
+    boolean hasKeyedClass() {
+        return hasKeyedClass;
+    }
+
     /** Returns the expected time, in ms, of a run of the class with the shortest objective. */
     double expectedRunMillis() {
         return EXPECTED_RUN_SHARE
--- a/src/main/java/tinroad/core/Gateway.java
+++ b/src/main/java/tinroad/core/Gateway.java
@@ -208,6 +208,14 @@
         lifecycle.cancel(id, responseSink);
     }
 
+    /**
+     * Returns whether any class is keyed. If so, a request whose fields were not read may be a
+     * further attempt of one that ran.
+     */
+    public boolean hasKeyedClass() {
+        return activeCatalog.hasKeyedClass();
+    }
+
     // --- from the engine ---
 
     @Override
--- a/src/main/java/tinroad/core/Response.java
+++ b/src/main/java/tinroad/core/Response.java
@@ -41,7 +41,8 @@
                 doNotRetry);
     }
 
-    static Response failed(Progress progress) {
+    /** Returns the answer that a request failed; {@code progress} tells how far it came. */
+    public static Response failed(Progress progress) {
         return new Response(Kind.FAILED, progress, Unpooled.EMPTY_BUFFER, 0, false);
     }
 
--- a/src/main/java/tinroad/fastcgi/ClientConnection.java
+++ b/src/main/java/tinroad/fastcgi/ClientConnection.java
@@ -8,13 +8,13 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.util.collection.IntObjectHashMap;
 import io.netty.util.collection.IntObjectMap;
 import java.util.Comparator;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import tinroad.core.Gateway;
@@ -45,19 +45,26 @@
     private final RecordDecoder decoder = new RecordDecoder(this);
     private final IntObjectMap<PendingRequest> openRequests = new IntObjectHashMap<>();
     private final ConnectionUse usage = new ConnectionUse();
+    private final InputThrottle.Meter inputMeter = new InputThrottle.Meter();
     private final PartialRecordTimer partialRecordTimer = new PartialRecordTimer();
+    private final RequestTimeouts timeouts =
+            new RequestTimeouts(openRequests, usage, decoder, partialRecordTimer);
     private final RequestAssembler assembler;
     private ChannelHandlerContext handlerContext;
+    private SocketInput socketInput;
     private boolean closeWhenDone;
     private boolean idleInLastSweep;
 
     /** Number of complete records read so far. */
     private int recordsRead;
 
-    private boolean overdueInLastSweep;
+    /** Whether the connection is not read until its turn comes, see {@link InputThrottle}. */
+    private boolean throttled;
+
+    private boolean closeAttemptScheduled;
 
-    /** Number of requests that were completed when one was overdue last. */
-    private int completedAtOverdue;
+    private final CloseAttempts closeAttempts = new CloseAttempts();
+    private boolean overdueInLastSweep;
 
     /** Whether the connection was given up: no further request is accepted. */
     private boolean rejecting;
@@ -74,7 +81,7 @@
     ClientConnection(FastCgiFrontend frontend, Gateway gateway) {
         this.frontend = frontend;
         this.gateway = gateway;
-        assembler = new RequestAssembler(this, frontend, gateway, openRequests, usage);
+        assembler = new RequestAssembler(this, frontend, gateway, openRequests, usage, inputMeter);
     }
 
     /** Returns the decoder of this connection's input, which precedes this handler. */
@@ -85,6 +92,7 @@
     @Override
     public void channelActive(ChannelHandlerContext context) {
         handlerContext = context;
+        socketInput = new SocketInput(context.channel());
         usage.opened(frontend.nowMillis());
         idleInLastSweep = false;
         frontend.connectionOpened(this);
@@ -93,12 +101,13 @@
     @Override
     protected void channelRead0(ChannelHandlerContext context, ByteBuf record) {
         recordsRead++;
+        inputMeter.recordRead();
         assembler.read(record);
     }
 
     /** Whether a request that begins now is accepted. */
     boolean acceptsRequests() {
-        return !closeWhenDone;
+        return !closeWhenDone && !frontend.refusesRequests();
     }
 
     ByteBufAllocator allocator() {
@@ -125,10 +134,31 @@
     }
 
     @Override
-    public void inputDecoded() {
+    public void inputDecoded(int bytes) {
+        socketInput.inputFound();
+        frontend.sweepBudget().bytesRead(bytes);
+        inputMeter.bytesRead(bytes);
+        if (inputMeter.isExceeded() && !throttled) {
+            throttled = true;
+            updateAutoRead();
+            frontend.throttle(this);
+        }
         frontend.limitPartialInput();
     }
 
+    /** Lets a throttled connection be read again, once if it completes no valid request. */
+    void endThrottling() {
+        throttled = false;
+        updateAutoRead();
+    }
+
+    private void updateAutoRead() {
+        handlerContext
+                .channel()
+                .config()
+                .setAutoRead(handlerContext.channel().isWritable() && !discarding && !throttled);
+    }
+
     /** Adds to the bytes that are kept for input which is not complete, or subtracts. */
     void holdPartialInput(int bytes) {
         partialInputBytes += bytes;
@@ -153,6 +183,7 @@
         if (openRequests.get(request.id) != request || !handlerContext.channel().isActive()) {
             return;
         }
+        request.invalid = response.kind() == Response.Kind.INVALID;
         try {
             write(
                     request,
@@ -171,40 +202,42 @@
         handlerContext.writeAndFlush(response);
         markUsed();
         closeIfDone();
-        if (frontend.draining() && openRequests.isEmpty()) {
-            handlerContext.executor().execute(this::closeIfEmpty);
+        if (frontend.draining() && openRequests.isEmpty() && !closeAttemptScheduled) {
+            scheduleCloseIfEmpty();
         }
     }
 
+    /** A task that is executed at once would run before the next input of others. */
+    private void scheduleCloseIfEmpty() {
+        closeAttemptScheduled = true;
+        handlerContext.executor().schedule(this::closeIfEmpty, 0, TimeUnit.MILLISECONDS);
+    }
+
     /**
      * Closes the connection of a draining gateway the first time that it has no open request.
      * Otherwise clients that nearly always have a request open would delay the graceful shutdown.
+     * One whose input goes on without a valid request is rejected.
      */
     private void closeIfEmpty() {
-        if (!closeWhenDone && handlerContext.channel().isActive()) {
-            readPendingInput();
-            if (openRequests.isEmpty() && !decoder.midRecord()) {
-                closeWhenDone = true;
-                closeIfDone();
-            }
+        closeAttemptScheduled = false;
+        if (closeWhenDone || !handlerContext.channel().isActive()) {
+            return;
         }
-    }
-
-    /**
-     * Reads the input that is waiting in the socket. A request may have arrived while this process
-     * stalled and still be unread; clients count it as lost if the connection closes more than 50
-     * ms after they wrote it.
-     */
-    private void readPendingInput() {
-        if (handlerContext.channel().unsafe() instanceof AbstractNioChannel.NioUnsafe nioChannel) {
-            nioChannel.read();
+        boolean readAll = socketInput.read(throttled);
+        if (readAll && openRequests.isEmpty() && !decoder.midRecord()) {
+            closeWhenDone = true;
+            closeIfDone();
+        } else if (closeAttempts.isLast(usage.completedRequests())) {
+            reject();
+        } else if (openRequests.isEmpty()) {
+            scheduleCloseIfEmpty();
         }
     }
 
     /** Reads the input that is waiting in the socket; false if it completed a record. */
     boolean readFindsNothing() {
         int recordsBefore = recordsRead;
-        readPendingInput();
+        socketInput.read(throttled);
         return recordsRead == recordsBefore;
     }
 
@@ -258,19 +291,20 @@
     void rejectOverdue(double nowMillis) {
         if (linger.lingering() && linger.expired(nowMillis, allSent())) {
             handlerContext.close();
-        } else if (discarding) {
-            handlerContext.read();
+        } else if (discarding && !frontend.sweepBudget().isExhausted()) {
+            socketInput.read(throttled);
         }
-        if (rejecting || linger.lingering()) {
+        if (rejecting || linger.lingering() || frontend.sweepBudget().isExhausted()) {
             return;
         }
-        boolean overdue = isOverdueSince(nowMillis - frontend.requestTimeoutMillis());
+        double beforeMillis = nowMillis - frontend.requestTimeoutMillis();
+        boolean overdue = timeouts.isOverdueSince(beforeMillis);
         if (overdue && overdueInLastSweep) {
             // A request that arrived in a stall between the two sweeps is still in the socket.
-            readPendingInput();
-            overdue = isOverdueSince(nowMillis - frontend.requestTimeoutMillis());
+            socketInput.read(throttled);
+            overdue = timeouts.isOverdueSince(beforeMillis);
             if (overdue) {
-                failOverdueSince(nowMillis - frontend.requestTimeoutMillis());
+                failOverdueSince(beforeMillis);
             }
         }
         overdueInLastSweep = overdue;
@@ -282,67 +316,28 @@
      * rejected.
      */
     private void failOverdueSince(double beforeMillis) {
-        if (usage.completedRequests() == completedAtOverdue) {
+        if (!timeouts.requestCompletedSinceLastTime()) {
             reject();
             return;
         }
-        completedAtOverdue = usage.completedRequests();
-        if (isPartialRecordOverdueSince(beforeMillis)) {
-            failIncomplete(openRequests.get(decoder.partialRecordId()));
-            decoder.skipPartialRecord();
-            if (!decoder.midRecord()) {
-                partialRecordTimer.reset();
-            }
-        }
-        for (PendingRequest request : List.copyOf(openRequests.values())) {
-            if (request.startedAtMillis < beforeMillis) {
-                failIncomplete(request);
-            }
-        }
+        failIncompleteSince(beforeMillis);
+        timeouts.skipPartialRecordSince(beforeMillis);
     }
 
-    private void failIncomplete(PendingRequest request) {
-        if (request != null && !request.handedOver) {
+    private void failIncompleteSince(double beforeMillis) {
+        for (PendingRequest request : timeouts.incompleteSince(beforeMillis)) {
+            frontend.sweepBudget().requestFailed();
             respond(request, Response.invalid());
         }
     }
 
-    /**
-     * Whether the partial record has been waiting since before this time. One that may begin a
-     * request can wait while another request is in flight: the connection stays open anyway, and
-     * the rest of the record tells what has to be answered.
-     */
-    private boolean isPartialRecordOverdueSince(double beforeMillis) {
-        return decoder.midRecord()
-                && partialRecordTimer.beganBefore(beforeMillis)
-                && !(decoder.partialRecordMayBeginRequest() && hasRequestInFlight());
-    }
-
-    private boolean hasRequestInFlight() {
-        return openRequests.values().stream().anyMatch(request -> request.handedOver);
-    }
-
-    /** Whether the first request, or one that has begun, is incomplete since before this time. */
-    private boolean isOverdueSince(double beforeMillis) {
-        if (usage.silentSince(beforeMillis) || isPartialRecordOverdueSince(beforeMillis)) {
-            return true;
-        }
-        for (PendingRequest request : openRequests.values()) {
-            if (!request.handedOver && request.startedAtMillis < beforeMillis) {
-                return true;
-            }
-        }
-        return false;
-    }
-
     /**
      * Whether closing the connection now loses no request; clients count a partial request on a new
      * connection as failed, not as lost.
      */
     boolean isEvictable() {
-        return (linger.lingering() && allSent())
-                || isEmpty()
-                || (!usage.carriesRequests() && !hasRequestInFlight());
+        // Without a complete request before, none is in flight.
+        return (linger.lingering() && allSent()) || !usage.carriesRequests() || isEmpty();
     }
 
     /**
@@ -364,9 +359,7 @@
             rejecting = true;
             closeWhenDone = true;
             decoder.skipPartialRecord();
-            for (PendingRequest request : List.copyOf(openRequests.values())) {
-                failIncomplete(request);
-            }
+            failIncompleteSince(Double.POSITIVE_INFINITY);
             closeIfDone();
         }
     }
@@ -381,7 +374,7 @@
     private void discardInput() {
         discarding = true;
         decoder.discardInput();
-        handlerContext.channel().config().setAutoRead(false);
+        updateAutoRead();
     }
 
     /**
@@ -391,8 +384,10 @@
      */
     private void closeRejected() {
         if (handlerContext.channel().isActive() && !linger.lingering()) {
-            readPendingInput();
-            if (openRequests.isEmpty()) {
+            boolean readAll = throttled || socketInput.read(false);
+            if (!readAll) {
+                scheduleCloseRejected();
+            } else if (openRequests.isEmpty()) {
                 closeGracefully();
             }
         }
@@ -408,12 +403,16 @@
             return;
         }
         if (rejecting && !discarding) {
-            handlerContext.executor().execute(this::closeRejected);
+            scheduleCloseRejected();
         } else {
             closeGracefully();
         }
     }
 
+    private void scheduleCloseRejected() {
+        handlerContext.executor().schedule(this::closeRejected, 0, TimeUnit.MILLISECONDS);
+    }
+
     private void closeGracefully() {
         linger.start(frontend.nowMillis());
         ChannelFuture flushed = handlerContext.writeAndFlush(Unpooled.EMPTY_BUFFER);
@@ -463,7 +462,7 @@
      */
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext context) {
-        context.channel().config().setAutoRead(context.channel().isWritable() && !discarding);
+        updateAutoRead();
         if (!context.channel().isWritable()) {
             frontend.limitUnsentResponses();
         }
--- a/src/main/java/tinroad/fastcgi/FastCgiFrontend.java
+++ b/src/main/java/tinroad/fastcgi/FastCgiFrontend.java
@@ -1,6 +1,7 @@
 package tinroad.fastcgi;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandler;
@@ -79,8 +80,8 @@
      */
     static final int MAX_PARTIAL_BYTES = 16 * 1024 * 1024;
 
-    /** All partial input together may take this fraction (1/8) of the memory. */
-    private static final int PARTIAL_MEMORY_DIVISOR = 8;
+    /** All partial input together may take this fraction (1/16) of the memory. */
+    private static final int PARTIAL_MEMORY_DIVISOR = 16;
 
     /**
      * Upper bound of the unsent responses of all connections together, in direct memory. An
@@ -96,6 +97,21 @@
 
     private static final int MAX_UNFLUSHED_WRITES = 64;
 
+    /**
+     * Upper bound of the bytes that are read from one connection before others get their turn, so
+     * that a client which writes at full speed does not hold the event loop up.
+     */
+    static final int MAX_READ_BYTES = 16 * 1024;
+
+    /**
+     * Size that the system is asked for to buffer the unread input of one connection. Without it,
+     * connections that wait for their turn may hold megabytes each.
+     */
+    private static final int RECEIVE_BUFFER_BYTES = 32 * 1024;
+
+    private static final int MIN_READ_BYTES = 512;
+    private static final int FIRST_READ_BYTES = 2 * 1024;
+
     /**
      * Bounds on the unread responses of one connection: above the upper one, the responses of 32
      * requests, its input is not read until they fall below the lower one.
@@ -110,11 +126,16 @@
     private final int maxConnectionsAlone;
     private final int maxConnectionsShared;
     private int maxConnections;
+    private long maxUnsentBytes = MAX_UNSENT_BYTES;
     private final PartialInputBudget partialInput;
+    private final InputThrottle throttle = new InputThrottle();
+    private final SweepBudget sweepBudget = new SweepBudget();
+
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
     private Channel listener;
     private double idleTimeoutMillis;
     private boolean draining;
+    private boolean refusesRequests;
 
     /** Number of connections accepted so far. */
     private long acceptedCount;
@@ -153,12 +174,18 @@
                         .channel(NioServerSocketChannel.class)
                         .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
                         .option(ChannelOption.SO_REUSEADDR, true)
+                        .option(ChannelOption.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
                         // Another process of this gateway may listen on the same address while a
                         // new version takes over.
                         .option(NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT), true)
                         .handler(new AcceptFailures())
                         .childOption(ChannelOption.TCP_NODELAY, true)
                         .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, UNREAD_RESPONSE_BYTES)
+                        .childOption(
+                                ChannelOption.RECVBUF_ALLOCATOR,
+                                new AdaptiveRecvByteBufAllocator(
+                                                MIN_READ_BYTES, FIRST_READ_BYTES, MAX_READ_BYTES)
+                                        .maxMessagesPerRead(1))
                         .childOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
                         .childHandler(
                                 new ChannelInitializer<SocketChannel>() {
@@ -207,6 +234,8 @@
     /** Goes over all connections and closes idle ones and those that do not complete a request. */
     public void sweep() {
         double nowMillis = clock.nowMillis();
+        sweepBudget.startSweep();
+        throttle.sweep();
         partialInputExceeded &= partialInput.heldBytes() > partialInput.maxBytes() / 2;
         double idleMillis =
                 draining ? 0 : idleTimeoutMillis > 0 ? idleTimeoutMillis : Double.MAX_VALUE;
@@ -237,12 +266,16 @@
     }
 
     /**
-     * Sets whether another process of this gateway shares the limit on file descriptors, as during
-     * a handover. If so, this process uses at most half of the connections and evicts the rest, the
-     * least useful first.
+     * Sets whether another process of this gateway shares the limits on file descriptors and
+     * memory, as during a handover. If so, this process uses at most half of the connections and
+     * evicts the rest, the least useful first, and keeps at most half of the partial input and the
+     * unsent responses.
      */
-    public void shareDescriptors(boolean shared) {
+    public void shareLimits(boolean shared) {
         maxConnections = shared ? maxConnectionsShared : maxConnectionsAlone;
+        maxUnsentBytes = shared ? MAX_UNSENT_BYTES / 2 : MAX_UNSENT_BYTES;
+        partialInput.setShared(shared);
+        limitPartialInput();
         for (int excess = connections.size() - maxConnections;
                 excess > 0 && evictOne(null);
                 excess--) {}
@@ -294,8 +327,18 @@
         }
     }
 
+    /** Makes a connection wait for its turn to be read. */
+    void throttle(ClientConnection connection) {
+        throttle.add(connection);
+    }
+
+    SweepBudget sweepBudget() {
+        return sweepBudget;
+    }
+
     void connectionClosed(ClientConnection connection) {
         connections.remove(connection);
+        throttle.remove(connection);
         logTableFull();
     }
 
@@ -345,7 +388,7 @@
      */
     void limitUnsentResponses() {
         long unsentBytes = connections.stream().mapToLong(ClientConnection::unsentBytes).sum();
-        for (int i = connections.size(); i > 0 && unsentBytes > MAX_UNSENT_BYTES; i--) {
+        for (int i = connections.size(); i > 0 && unsentBytes > maxUnsentBytes; i--) {
             ClientConnection most =
                     Collections.max(
                             connections, Comparator.comparingLong(ClientConnection::unsentBytes));
@@ -408,9 +451,16 @@
         return listener != null && listener.isOpen();
     }
 
-    /** Returns whether a client has not taken all of its responses yet. */
-    public boolean hasUnsentResponses() {
-        return connections.stream().anyMatch(connection -> connection.unsentBytes() > 0);
+    /**
+     * Refuses every request that begins from now on. Clients that write without a pause would
+     * otherwise never let the process end.
+     */
+    public void refuseRequests() {
+        refusesRequests = true;
+    }
+
+    boolean refusesRequests() {
+        return refusesRequests;
     }
 
     @Override
--- a/src/main/java/tinroad/fastcgi/PartialInputBudget.java
+++ b/src/main/java/tinroad/fastcgi/PartialInputBudget.java
@@ -5,13 +5,20 @@
  * requests, their parameters and bodies. Owned by the event loop.
  */
 final class PartialInputBudget {
-    private final long maxBytes;
+    private final long maxBytesAlone;
+    private long maxBytes;
     private long heldBytes;
 
     PartialInputBudget(long maxBytes) {
+        maxBytesAlone = maxBytes;
         this.maxBytes = maxBytes;
     }
 
+    /** Sets whether another process of the gateway shares the memory: then half of it is left. */
+    void setShared(boolean shared) {
+        maxBytes = shared ? maxBytesAlone / 2 : maxBytesAlone;
+    }
+
     /** Adds to the bytes that are held, or subtracts if negative. */
     void add(int bytes) {
         heldBytes += bytes;
--- a/src/main/java/tinroad/fastcgi/PendingRequest.java
+++ b/src/main/java/tinroad/fastcgi/PendingRequest.java
@@ -1,8 +1,6 @@
 package tinroad.fastcgi;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
-import io.netty.buffer.Unpooled;
 import tinroad.core.Response;
 import tinroad.core.ResponseSink;
 
@@ -29,12 +27,15 @@
     /** Whether the request is handed to the gateway, which alone answers it from then on. */
     boolean handedOver;
 
+    /** Whether the request was answered as invalid. */
+    boolean invalid;
+
     /** The gateway's id of the request, set once it is handed over. */
     String requestId;
 
     private final ClientConnection connection;
-    private StreamBytes parameters = StreamBytes.EMPTY;
-    private StreamBytes body = StreamBytes.EMPTY;
+    private final StreamBuffer parameters = new StreamBuffer(this::hold);
+    private final StreamBuffer body = new StreamBuffer(this::hold);
 
     /** Bytes that are counted as partial input. */
     private int heldBytes;
@@ -53,84 +54,42 @@
         connection.holdPartialInput(bytes);
     }
 
-    /** Appends to the parameters; false if they exceed their bound. */
+    /** Appends to the parameters; false if they would exceed their bound. */
     boolean appendParameters(ByteBuf content) {
-        parameters = parameters.append(content);
-        hold(content.readableBytes());
-        return parameters.bytes.readableBytes() <= MAX_PARAMETER_BYTES;
+        return parameters.append(content, MAX_PARAMETER_BYTES);
     }
 
-    /** Appends to the body; false if it exceeds its bound. */
+    /** Appends to the body; false if it would exceed its bound. */
     boolean appendBody(ByteBuf content) {
-        body = body.append(content);
-        hold(content.readableBytes());
-        return body.bytes.readableBytes() <= MAX_BODY_BYTES;
+        return body.append(content, MAX_BODY_BYTES);
     }
 
     ByteBuf parameters() {
-        return parameters.bytes.duplicate();
+        return parameters.bytes();
     }
 
     ByteBuf body() {
-        return body.bytes.duplicate();
+        return body.bytes();
     }
 
     /** Copies the parameters and the body if they are slices of the read buffer. */
     void copyReadBuffer() {
         if (!handedOver) {
-            parameters = parameters.copyIfSlice();
-            body = body.copyIfSlice();
+            parameters.copyReadBuffer();
+            body.copyReadBuffer();
         }
     }
 
     /** Releases the parameters and the body, which are not needed while the response is pending. */
     void handOver() {
         handedOver = true;
-        hold(-heldBytes);
         parameters.release();
         body.release();
-        parameters = StreamBytes.EMPTY;
-        body = StreamBytes.EMPTY;
+        hold(-heldBytes);
     }
 
     @Override
     public void respond(Response response) {
         connection.respond(this, response);
     }
-
-    /**
-     * The bytes of one stream: a slice of the read buffer if they came in one record, otherwise a
-     * copy.
-     */
-    private record StreamBytes(ByteBuf bytes, boolean slice) {
-        static final StreamBytes EMPTY = new StreamBytes(Unpooled.EMPTY_BUFFER, false);
-
-        StreamBytes append(ByteBuf content) {
-            if (!bytes.isReadable()) {
-                return new StreamBytes(content.retainedSlice(), true);
-            }
-            byte[] joined = new byte[bytes.readableBytes() + content.readableBytes()];
-            bytes.getBytes(bytes.readerIndex(), joined, 0, bytes.readableBytes());
-            content.getBytes(
-                    content.readerIndex(), joined, bytes.readableBytes(), content.readableBytes());
-            release();
-            return new StreamBytes(Unpooled.wrappedBuffer(joined), false);
-        }
-
-        StreamBytes copyIfSlice() {
-            if (!slice) {
-                return this;
-            }
-            StreamBytes copy =
-                    new StreamBytes(Unpooled.wrappedBuffer(ByteBufUtil.getBytes(bytes)), false);
-            release();
-            return copy;
-        }
-
-        void release() {
-            if (slice) {
-                bytes.release();
-            }
-        }
-    }
 }
--- a/src/main/java/tinroad/fastcgi/RecordDecoder.java
+++ b/src/main/java/tinroad/fastcgi/RecordDecoder.java
@@ -50,8 +50,8 @@
         /** Called when the size of the buffer of the partial record has changed. */
         void bufferResized(int addedBytes);
 
-        /** Called when all input that was read has been decoded. */
-        void inputDecoded();
+        /** Called when all bytes of one read have been decoded. */
+        void inputDecoded(int bytes);
     }
 
     private final Listener listener;
@@ -72,6 +72,7 @@
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         ByteBuf in = (ByteBuf) message;
+        int bytes = in.readableBytes();
         try {
             while (in.isReadable() && !discarding) {
                 decode(context, in);
@@ -79,7 +80,7 @@
         } finally {
             in.release();
         }
-        listener.inputDecoded();
+        listener.inputDecoded(bytes);
     }
 
     /** Consumes at least one byte. */
--- a/src/main/java/tinroad/fastcgi/RequestAssembler.java
+++ b/src/main/java/tinroad/fastcgi/RequestAssembler.java
@@ -4,6 +4,7 @@
 import io.netty.util.collection.IntObjectMap;
 import tinroad.core.Gateway;
 import tinroad.core.IncomingRequest;
+import tinroad.core.Progress;
 import tinroad.core.Response;
 
 /**
@@ -26,6 +27,7 @@
     private final Gateway gateway;
     private final IntObjectMap<PendingRequest> openRequests;
     private final ConnectionUse usage;
+    private final InputThrottle.Meter inputMeter;
 
     /** Bytes since the last complete request that belong to no request. */
     private int strayBytes;
@@ -35,12 +37,14 @@
             FastCgiFrontend frontend,
             Gateway gateway,
             IntObjectMap<PendingRequest> openRequests,
-            ConnectionUse usage) {
+            ConnectionUse usage,
+            InputThrottle.Meter inputMeter) {
         this.connection = connection;
         this.frontend = frontend;
         this.gateway = gateway;
         this.openRequests = openRequests;
         this.usage = usage;
+        this.inputMeter = inputMeter;
     }
 
     /** Handles one complete record. */
@@ -100,12 +104,12 @@
         } else if (!connection.acceptsRequests()) {
             // Each request that is written before the client sees the end gets an answer.
             strayBytes = 0;
-            refuse(id, FastCgi.OVERLOADED);
+            refuseUnread(id);
         } else if (content.readableBytes() < FastCgi.BEGIN_REQUEST_BODY_BYTES
                 || content.getUnsignedShort(0) != FastCgi.RESPONDER) {
             refuse(id, FastCgi.UNKNOWN_ROLE);
         } else if (openRequests.size() >= MAX_OPEN_REQUESTS) {
-            refuse(id, FastCgi.OVERLOADED);
+            refuseUnread(id);
         } else {
             openRequests.put(
                     id,
@@ -117,6 +121,23 @@
         }
     }
 
+    /**
+     * Refuses a request that was not read. It fails if it may be a further attempt of a keyed
+     * request: an earlier one may have run, and then none may be refused.
+     */
+    private void refuseUnread(int id) {
+        if (gateway.hasKeyedClass()) {
+            connection.send(
+                    ResponseWriter.response(
+                            connection.allocator(),
+                            id,
+                            Response.failed(Progress.NOT_SENT),
+                            gateway.loadLevel()));
+        } else {
+            refuse(id, FastCgi.OVERLOADED);
+        }
+    }
+
     private void refuse(int id, int protocolStatus) {
         connection.send(ResponseWriter.endOfRequest(connection.allocator(), id, protocolStatus));
     }
@@ -149,6 +170,7 @@
                 request.parametersComplete ? RequestParameters.read(request.parameters()) : null;
         if (parameters != null && parameters.isHealthCheck()) {
             usage.carriedHealthCheck();
+            inputMeter.validRequestCompleted();
             connection.write(
                     request,
                     ResponseWriter.healthResponse(
@@ -158,15 +180,21 @@
                             gateway.loadLevel()));
             return;
         }
-        usage.carriedRequest();
         IncomingRequest incoming =
                 parameters == null ? null : parameters.toIncomingRequest(request.body());
         if (incoming == null) {
+            inputMeter.invalidRequestCompleted();
             connection.respond(request, Response.invalid());
             return;
         }
         request.requestId = incoming.id();
         gateway.handle(incoming, request);
+        if (request.invalid) {
+            inputMeter.invalidRequestCompleted();
+        } else {
+            usage.carriedRequest();
+            inputMeter.validRequestCompleted();
+        }
         request.handOver();
     }
 
--- a/src/main/java/tinroad/fastcgi/RequestParameters.java
+++ b/src/main/java/tinroad/fastcgi/RequestParameters.java
@@ -13,6 +13,9 @@
     private static final int MAX_KEY_CHARACTERS = 128;
     private static final int MAX_TOKEN_CHARACTERS = 64;
 
+    /** Upper bound of the parameters of one request; one with more is malformed. */
+    static final int MAX_PARAMETERS = 256;
+
     /** Upper bound of a client timeout: one day. A request with a longer one is malformed. */
     private static final double MAX_CLIENT_TIMEOUT_MILLIS = 86_400_000;
 
@@ -53,11 +56,14 @@
     }
 
     /**
-     * Reads all pairs; false if the last one is truncated. The request is malformed then, but the
-     * connection can still be used.
+     * Reads all pairs; false if the last one is truncated, or if there are more than {@link
+     * #MAX_PARAMETERS}. The request is malformed then, but the connection can still be used.
      */
     static boolean readPairs(ByteBuf in, Visitor visitor) {
-        while (in.isReadable()) {
+        for (int pairs = 0; in.isReadable(); pairs++) {
+            if (pairs == MAX_PARAMETERS) {
+                return false;
+            }
             int nameLength = readLength(in);
             int valueLength = nameLength < 0 ? -1 : readLength(in);
             if (valueLength < 0 || (long) nameLength + valueLength > in.readableBytes()) {
--- a/src/main/java/tinroad/node/GatewayNode.java
+++ b/src/main/java/tinroad/node/GatewayNode.java
@@ -464,7 +464,7 @@
                     shared
                             ? "connection limits halved: another process shares them"
                             : "connection limits restored: no other process");
-            eventLoop.execute(() -> frontend.shareDescriptors(shared));
+            eventLoop.execute(() -> frontend.shareLimits(shared));
         }
     }
 
--- a/src/main/java/tinroad/node/NodeShutdown.java
+++ b/src/main/java/tinroad/node/NodeShutdown.java
@@ -30,11 +30,11 @@
  *       kill.
  *   <li>"controller: draining, shutdown in N ms" (logger "gateway"): the overload controller was
  *       notified too. This line comes late or never if the engine has not been attached yet.
- *   <li>"N connections open that are owed nothing": clients did not close their side until shortly
- *       before the kill; the process ends all the same.
- *   <li>"drained": every request is answered and every connection is closed or owed nothing, at the
- *       exit time or, if the process was replaced, before it; the state is saved and the process
- *       ends. If this line is missing, the time until the kill ran out with responses left.
+ *   <li>"N connections left open by their clients": clients did not read their responses, or did
+ *       not close their side, until shortly before the kill; the process ends all the same.
+ *   <li>"drained": every request is answered and every connection is closed or left open by its
+ *       client, at the exit time or, if the process was replaced, before it; the state is saved and
+ *       the process ends. If this line is missing, requests were left at the kill.
  * </ul>
  */
 final class NodeShutdown {
@@ -65,6 +65,9 @@
      */
     private static final double CLOSE_LEAD_MILLIS = 250;
 
+    /** Time before the exit time from which on requests that begin are refused. */
+    private static final double REFUSE_LEAD_MILLIS = 100;
+
     /** Time before the kill at which the process ends though clients keep connections open. */
     private static final double LAST_EXIT_LEAD_MILLIS = 100;
 
@@ -192,13 +195,14 @@
         }
         double leftMillis = exitAtMillis - clock.nowMillis();
         timers.after(Math.max(0, leftMillis - CLOSE_LEAD_MILLIS), frontend::closeGracefully);
+        timers.after(Math.max(0, leftMillis - REFUSE_LEAD_MILLIS), frontend::refuseRequests);
         timers.after(Math.max(0, leftMillis), this::endOnceEmpty);
     }
 
     private void endOnceEmpty() {
-        if (gateway.allAnswered() && !awaitsRun() && nothingIsOwed()) {
+        if (gateway.allAnswered() && !awaitsRun() && mayEnd()) {
             if (frontend.connections() > 0) {
-                LOG.info("{} connections open that are owed nothing", frontend.connections());
+                LOG.info("{} connections left open by their clients", frontend.connections());
             }
             LOG.info("drained");
             persistence.save(gateway);
@@ -209,14 +213,11 @@
     }
 
     /**
-     * Whether all connections are closed or, in the last moment before the kill, all that are left
-     * have taken their responses: clients that do not close their side must not have the process
-     * killed.
+     * Whether all connections are closed, or the kill is near: clients that do not read their
+     * responses or do not close their side must not have the process killed.
      */
-    private boolean nothingIsOwed() {
-        return frontend.isClosed()
-                || (clock.nowMillis() >= killAtMillis - LAST_EXIT_LEAD_MILLIS
-                        && !frontend.hasUnsentResponses());
+    private boolean mayEnd() {
+        return frontend.isClosed() || clock.nowMillis() >= killAtMillis - LAST_EXIT_LEAD_MILLIS;
     }
 
     private boolean awaitsRun() {
--- a/src/test/java/tinroad/fastcgi/ClientConnectionTest.java
+++ b/src/test/java/tinroad/fastcgi/ClientConnectionTest.java
@@ -51,7 +51,7 @@
     @BeforeTry
     void setUp() {
         harness = GatewayHarness.started();
-        frontend = new FastCgiFrontend(harness, harness.gateway, 1024, 192);
+        frontend = new FastCgiFrontend(harness, harness.gateway, 1024, 256);
         channel = connect();
         harness.gateway.addFrontend(frontend);
         harness.controller.onRequest = r -> harness.controller.actions.run(r.id());
@@ -135,13 +135,13 @@
         List<EmbeddedChannel> silent = IntStream.range(0, 3).mapToObj(i -> connect()).toList();
         channel = connect();
         receive(Records.completeRequest(1, Records.validFields(id(1)), "body"));
-        frontend.shareDescriptors(true);
+        frontend.shareLimits(true);
         assertEquals(
                 List.of(false, false, true), silent.stream().map(EmbeddedChannel::isOpen).toList());
         assertEquals(2, frontend.connections());
         completeRun(1, "fine");
         assertEquals(List.of("1: " + SERVED + "fine"), responses());
-        frontend.shareDescriptors(false);
+        frontend.shareLimits(false);
         connect();
         connect();
         assertEquals(4, frontend.connections());
@@ -270,7 +270,7 @@
     @Test
     void retryMarkAndClientTimeoutReachTheControllerAndAllResponsesCarryTheLoadLevel() {
         harness = GatewayHarness.keyed();
-        frontend = new FastCgiFrontend(harness, harness.gateway, 1024, 192);
+        frontend = new FastCgiFrontend(harness, harness.gateway, 1024, 256);
         channel = connect();
         harness.controller.onRequest = r -> harness.controller.actions.reject(r.id(), 0, false);
         Map<String, String> fields = Records.validFields(id(1));
--- a/src/test/java/tinroad/fastcgi/FrontendRaceTest.java
+++ b/src/test/java/tinroad/fastcgi/FrontendRaceTest.java
@@ -31,6 +31,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.function.BooleanSupplier;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -280,6 +281,68 @@
         crowd.forEach(FrontendRaceTest::closeUnchecked);
     }
 
+    /**
+     * Guards against a drain that never ends: each time that the connection has no open request, it
+     * is read once more, and its client has written the next ones.
+     */
+    @Test
+    void aClientThatWritesWithoutAPauseDoesNotKeepItsConnectionFromClosing() throws Exception {
+        Map<String, String> fields = Records.validFields(id(1));
+        fields.put("HTTP_REQ_OWNER", "nobody");
+        byte[] invalidRequests =
+                Cuts.join(
+                        IntStream.rangeClosed(1, 20)
+                                .mapToObj(i -> Records.completeRequest(i, fields, ""))
+                                .toArray(byte[][]::new));
+        Socket client = connect();
+        CountDownLatch ended = new CountDownLatch(1);
+        background(
+                () -> {
+                    // Each write ends within a record.
+                    for (int from = 0; ; ) {
+                        int length = Math.min(invalidRequests.length - from, 1001);
+                        client.getOutputStream().write(invalidRequests, from, length);
+                        from = (from + length) % invalidRequests.length;
+                    }
+                },
+                ended);
+        background(() -> client.getInputStream().readAllBytes(), new CountDownLatch(1));
+        Socket sound = connectAndServe(2);
+        eventLoop.submit(frontend::closeGracefully).sync();
+        assertEquals(-1, sound.getInputStream().read());
+        CountDownLatch empty = new CountDownLatch(1);
+        eventLoop.execute(
+                () ->
+                        pollUntil(
+                                () -> {
+                                    harness.now++;
+                                    return frontend.isClosed();
+                                },
+                                empty));
+        assertTrue(empty.await(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS), "all connections close");
+        assertTrue(ended.await(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS));
+    }
+
+    /** Work with a socket, until the socket is closed. */
+    private interface SocketWork {
+        void run() throws IOException;
+    }
+
+    private static void background(SocketWork work, CountDownLatch ended) {
+        Thread thread =
+                new Thread(
+                        () -> {
+                            try {
+                                work.run();
+                            } catch (IOException e) {
+                                // The connection is closed.
+                            }
+                            ended.countDown();
+                        });
+        thread.setDaemon(true);
+        thread.start();
+    }
+
     private static InetSocketAddress address(int port) {
         return new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
     }
@@ -324,7 +387,7 @@
                     // The connection that is unused for longest would be evicted first.
                     writeRequest(idleClients.get(0), 9);
                 },
-                () -> frontend.shareDescriptors(true));
+                () -> frontend.shareLimits(true));
         assertEquals("9: " + SERVED + "r" + id(9), readResponse(idleClients.get(0)));
         assertEquals(-1, idleClients.get(1).getInputStream().read());
         assertEquals(-1, idleClients.get(2).getInputStream().read());
--- a/src/test/java/tinroad/fastcgi/PartialInputTest.java
+++ b/src/test/java/tinroad/fastcgi/PartialInputTest.java
@@ -42,7 +42,7 @@
     @BeforeEach
     void setUp() {
         harness = GatewayHarness.started();
-        frontend = new FastCgiFrontend(harness, harness.gateway, 1024, 192);
+        frontend = new FastCgiFrontend(harness, harness.gateway, 1024, 256);
         harness.gateway.addFrontend(frontend);
         harness.controller.onRequest = r -> harness.controller.actions.run(r.id());
     }
